--- a/lycheespar/tests/whole/path_tests.py
+++ b/lycheespar/tests/whole/path_tests.py
@@ -73,8 +73,9 @@
         )
 
         async def elsewhere() -> bool:
-            found = await answers(session, f'{node.url}/a', HOST)
-            return found and await _served_by(session, node.url) == 'rotterdam'
+            headers = {'Host': HOST}
+            async with session.get(node.url, headers=headers) as response:
+                return response.headers.get('X-Data-Centre') == 'rotterdam'
 
         await wait_until(elsewhere)
         served = {await _served_by(session, node.url) for _ in range(20)}
