Inner protocol: encode plain strings only; coded answer for unexpected faults

Cause: header names from the HTTP library are a subclass of str that msgpack refuses, so each call over a channel failed with an uncoded 500. Ruled out: gossip (records had spread), the picker.

--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -232,6 +232,13 @@
     status = 502
 
 
+class InternalRequestError(OutcomeUnknownError):
+    """An unexpected fault of this system; the request may have run."""
+
+    code = 'internal'
+    status = 500
+
+
 class DeadlineExceededError(OutcomeUnknownError):
     """The deadline passed after the request may have started."""
 
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -9,7 +9,7 @@
 
 from lycheespar.config.options import Address
 from lycheespar.configuration.view import ConfigurationView
-from lycheespar.errors import RequestError
+from lycheespar.errors import InternalRequestError, RequestError
 from lycheespar.ingress.answers import problem, respond
 from lycheespar.ingress.classify import classify
 from lycheespar.routing.router import Router
@@ -64,4 +64,7 @@
             answer = await self._router.dispatch(call)
         except RequestError as error:
             return problem(error)
+        except Exception as error:  # a bug must not cost the connection
+            log.exception('A request failed.')
+            return problem(InternalRequestError(str(error)))
         return await respond(request, answer)
--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -99,10 +99,9 @@
             raise ChannelClosedError
         pending = _Pending()
         self._pending[call.call_id] = pending
-        self._send_request(call)
-        budget_s = call.deadline - asyncio.get_running_loop().time()
         try:
-            async with asyncio.timeout(max(0, budget_s)):
+            self._send_request(call)
+            async with asyncio.timeout_at(call.deadline):
                 return await pending.head
         except TimeoutError as error:
             self._connection.send(Cancel(call.call_id))
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -120,7 +120,7 @@
 def end_to_end(headers: Iterable[tuple[str, str]]) -> Headers:
     """Drop the headers that hold for one connection only."""
     return tuple(
-        (name, text)
+        (str(name), text)
         for name, text in headers
         if name.lower() not in HOP_HEADERS
     )
