--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -10,6 +10,7 @@
 
 import zmq.asyncio
 from loguru import logger
+from msgspec.structs import replace
 
 from lycheespar.admission.executor import Executor
 from lycheespar.config.settings import ControlSettings, NodeSettings
@@ -19,6 +20,7 @@
 from lycheespar.control.link import ControlLink
 from lycheespar.control.messages import ControlReply
 from lycheespar.ingress.server import IngressServer
+from lycheespar.membership.broadcast import BroadcastTable
 from lycheespar.membership.gossip import Gossip
 from lycheespar.membership.records import MemberRecord, Phase
 from lycheespar.membership.view import MembershipView
@@ -53,21 +55,24 @@
         self._target = LocalTarget()
         self._configuration = ConfigurationView(Configuration())
         self._members = MembershipView()
+        advertised = settings.advertise_inner or settings.inner
         own = MemberRecord(
             settings.name,
             incarnation,
             0,
-            settings.inner.host,
-            settings.inner.port,
+            advertised.host,
+            advertised.port,
             settings.gossip.port,
             settings.data_centre,
         )
         hello = Hello(settings.name, incarnation, 0)
+        self._broadcasts = BroadcastTable()
         self._gossip = Gossip(
             own,
             settings.seeds,
             self._members,
             self._configuration,
+            self._broadcasts,
         )
         self._executor = Executor(
             self._target,
@@ -191,7 +196,6 @@
     phase: Phase,
     slots: int,
 ) -> MemberRecord:
-    from msgspec.structs import replace  # noqa: PLC0415
 
     return replace(
         record,
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -100,6 +100,19 @@
     load: Load
 
 
+class Dispatch(Protocol):
+    """Runs calls somewhere: the router, or a part in front of it."""
+
+    async def dispatch(self, call: Call) -> Answer:
+        """Run the call at one of its service's targets.
+
+        Raises
+        ------
+        RequestError
+            No target gave an answer.
+        """
+
+
 class Execution(Protocol):
     """Runs calls: the local target, or another node by its channel."""
 
--- a/lycheespar/config/settings.py
+++ b/lycheespar/config/settings.py
@@ -40,6 +40,10 @@
     http = IpAddress('Address for callers.')
     announce = IpAddress('Address for the announcements of the target.')
     inner = IpAddress('Address for other nodes, TCP.')
+    advertise_inner: Option[Any] = IpAddress(
+        'Address that other nodes use instead of "inner".',
+        None,
+    )
     gossip = IpAddress('Address for gossip, UDP.')
     seeds = AddressList('Gossip addresses of other nodes.', ())
     control = AddressTable('Addresses of the control hosts by name.')
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -246,6 +246,12 @@
     status = 504
 
 
+class TargetLostError(OutcomeUnknownError):
+    """The connection to the target broke while the request ran."""
+
+    code = 'target_lost'
+
+
 class TruncatedAnswerError(OutcomeUnknownError):
     """The answer of the target ended before its declared length."""
 
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -7,12 +7,12 @@
 from aiohttp import web
 from loguru import logger
 
+from lycheespar.call import Dispatch
 from lycheespar.config.options import Address
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import InternalRequestError, RequestError
 from lycheespar.ingress.answers import problem, respond
 from lycheespar.ingress.classify import classify
-from lycheespar.routing.router import Router
 
 KEEPALIVE_S: Final = 75
 
@@ -26,20 +26,20 @@
     ----------
     configuration : ConfigurationView
         Services and their routes.
-    router : Router
+    dispatch : Dispatch
         Runs the calls.
     """
 
-    __slots__ = ('_configuration', '_router', '_runner')
+    __slots__ = ('_configuration', '_dispatch', '_runner')
 
     def __init__(
         self,
         configuration: ConfigurationView,
-        router: Router,
+        dispatch: Dispatch,
     ) -> None:
         """Keep the parts; `start` opens the port."""
         self._configuration = configuration
-        self._router = router
+        self._dispatch = dispatch
         self._runner = web.ServerRunner(
             web.Server(
                 self._handle,
@@ -61,7 +61,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
             call = await classify(request, self._configuration)
-            answer = await self._router.dispatch(call)
+            answer = await self._dispatch.dispatch(call)
         except RequestError as error:
             return problem(error)
         except Exception as error:  # a bug must not cost the connection
--- a/lycheespar/membership/gossip.py
+++ b/lycheespar/membership/gossip.py
@@ -14,6 +14,7 @@
 from lycheespar.config.options import Address
 from lycheespar.configuration.stamp import Stamp
 from lycheespar.configuration.view import ConfigurationView
+from lycheespar.membership.broadcast import Broadcast, BroadcastTable
 from lycheespar.membership.records import Liveness, MemberRecord
 from lycheespar.membership.view import MembershipView
 
@@ -36,11 +37,14 @@
         Newest stamp of the sender.
     records : tuple[MemberRecord, ...]
         Some of the sender's records, its own first.
+    broadcasts : tuple[Broadcast, ...]
+        Facts that hold now.
     """
 
     sender: str
     stamp: Stamp
     records: tuple[MemberRecord, ...]
+    broadcasts: tuple[Broadcast, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -60,6 +64,8 @@
         Table that is kept up to date.
     configuration : ConfigurationView
         Source and sink of freshness stamps.
+    broadcasts : BroadcastTable
+        Facts to spread.
     """
 
     def __init__(
@@ -68,12 +74,14 @@
         seeds: tuple[Address, ...],
         members: MembershipView,
         configuration: ConfigurationView,
+        broadcasts: BroadcastTable,
     ) -> None:
         """Keep the parts; `start` opens the port."""
         self._own = own
         self._seeds = seeds
         self._members = members
         self._configuration = configuration
+        self._broadcasts = broadcasts
         self._heard_at: dict[str, float] = {}
         self._random = random.Random(own.node)
         self._transport: asyncio.DatagramTransport | None = None
@@ -120,6 +128,8 @@
         self._configuration.confirm(digest.stamp)
         for record in digest.records:
             self._take(record)
+        for fact in digest.broadcasts:
+            self._broadcasts.publish(fact)
 
     def _take(self, record: MemberRecord) -> None:
         if record.node != self._own.node:
@@ -152,6 +162,7 @@
             self._own.node,
             self._configuration.stamp,
             (self._own, *chosen),
+            self._broadcasts.current,
         )
         payload = _encoder.encode(digest)
         for address in self._receivers(others):
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -13,8 +13,8 @@
 from lycheespar.call import Answer, Body, Call, Headers, Load
 from lycheespar.errors import (
     DeadlineExceededError,
-    OutcomeUnknownError,
     TargetGoneError,
+    TargetLostError,
     TruncatedAnswerError,
 )
 from lycheespar.protocol.body import CHUNK_BYTES, INLINE_BYTES
@@ -83,7 +83,7 @@
             No connection could be opened, so nothing was sent.
         DeadlineExceededError
             The deadline passed.
-        OutcomeUnknownError
+        TargetLostError
             The connection broke after the call may have been sent.
         """
         loop = asyncio.get_running_loop()
@@ -99,7 +99,7 @@
         except aiohttp.ClientPayloadError as error:
             raise TruncatedAnswerError(str(error)) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise OutcomeUnknownError(str(error)) from error
+            raise TargetLostError(str(error)) from error
         return Answer(
             response.status,
             end_to_end(response.headers.items()),
