--- /dev/null
+++ b/demo/relay.py
@@ -0,0 +1,57 @@
+"""Delaying links in front of all nodes, in a process of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import msgspec
+
+from standins.link import Link
+
+MS_PER_S = 1000
+
+
+class LinkPlan(msgspec.Struct):
+    """One link.
+
+    Attributes
+    ----------
+    host : str
+        IP number of the node.
+    port, listen : int
+        Port of the node, and port on which the link listens.
+    delay_ms : float
+        One-way delay in milliseconds.
+    near : str
+        Start of the callers' IP numbers that see no delay.
+    """
+
+    host: str
+    port: int
+    listen: int
+    delay_ms: float
+    near: str = ''
+
+    def delay_s(self, caller: str) -> float:
+        """Return the one-way delay for a caller in seconds."""
+        if self.near and caller.startswith(self.near):
+            return 0
+        return self.delay_ms / MS_PER_S
+
+
+async def _run(plans: list[LinkPlan]) -> None:
+    links = [Link(plan.host, plan.port, plan.delay_s) for plan in plans]
+    for link, plan in zip(links, plans, strict=True):
+        await link.start(plan.host, plan.listen)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the links that the first argument lists, as JSON."""
+    plans = msgspec.json.decode(sys.argv[1], type=list[LinkPlan])
+    asyncio.run(_run(plans))
+
+
+if __name__ == '__main__':
+    main()
--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -80,7 +80,7 @@
             settings.data_centre,
             float('inf') if settings.serve_stale else settings.stale_after_s,
         )
-        self._pool = ChannelPool(hello)
+        self._pool = ChannelPool(hello, settings.inner.host)
         self._router = Router(
             settings.name,
             self._members,
--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -232,9 +232,23 @@
         self._connection.fail_bodies(TruncatedAnswerError('channel lost'))
 
 
-async def open_channel(host: str, port: int, hello: Hello) -> Channel:
+async def open_channel(
+    host: str,
+    port: int,
+    hello: Hello,
+    source: str,
+) -> Channel:
     """Open a channel to a node.
 
+    Parameters
+    ----------
+    host, port
+        Address of the node's inner protocol.
+    hello : Hello
+        Who this node is.
+    source : str
+        IP number of this node from which the connection is made.
+
     Raises
     ------
     ChannelConnectError
@@ -242,7 +256,11 @@
     """
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(host, port)
+            reader, writer = await asyncio.open_connection(
+                host,
+                port,
+                local_addr=(source, 0),
+            )
     except (OSError, TimeoutError) as error:
         raise ChannelConnectError(f'{host}:{port}') from error
     return Channel(reader, writer, hello)
--- a/lycheespar/routing/pool.py
+++ b/lycheespar/routing/pool.py
@@ -16,13 +16,16 @@
     ----------
     hello : Hello
         Who this node is.
+    source : str
+        IP number of this node from which channels are opened.
     """
 
-    __slots__ = ('_channels', '_hello', '_locks')
+    __slots__ = ('_channels', '_hello', '_locks', '_source')
 
-    def __init__(self, hello: Hello) -> None:
+    def __init__(self, hello: Hello, source: str) -> None:
         """Start without channels."""
         self._hello = hello
+        self._source = source
         self._channels: dict[str, Channel] = {}
         self._locks: dict[str, asyncio.Lock] = {}
 
@@ -45,6 +48,7 @@
                     record.host,
                     record.inner_port,
                     self._hello,
+                    self._source,
                 )
                 self._channels[key] = channel
             return channel
