--- a/lycheespar/__main__.py
+++ b/lycheespar/__main__.py
@@ -7,13 +7,21 @@
 from typing import Any, Final
 
 import click
+import msgspec
 
 from lycheespar import __version__
-from lycheespar.errors import LycheesparError
+from lycheespar.errors import LycheesparError, SettingsError
+from lycheespar.protocol.version import PROTOCOL_VERSION
 
 _SETTINGS_HELP: Final = 'SETTINGS is a file of JSON with comments.'
 
 
+_ROLE_HELP: Final = 'Command the settings are for; found by their keys.'
+_STRICT_HELP: Final = 'Treat warnings as errors.'
+_JSON_HELP: Final = 'Print JSON.'
+_CHECK_EXIT_CODES: Final = 'Exits with 0 if the settings are valid, else 2.'
+
+
 class _Group(click.Group):
     """Turns coded errors into a short message and an exit code."""
 
@@ -50,5 +58,40 @@
     serve_control(settings)
 
 
+@cli.command(epilog=_CHECK_EXIT_CODES)
+@click.argument('settings', type=click.Path(path_type=Path))
+@click.option('--role', type=click.Choice(['node', 'control']), help=_ROLE_HELP)
+@click.option('--strict', is_flag=True, help=_STRICT_HELP)
+@click.option('--json', 'as_json', is_flag=True, help=_JSON_HELP)
+def check(
+    settings: Path,
+    role: str | None,
+    *,
+    strict: bool,
+    as_json: bool,
+) -> None:
+    """Check a settings file and report all its problems at once."""
+    from lycheespar.commands.check import check_settings  # noqa: PLC0415
+
+    report = check_settings(settings, role)
+    if as_json:
+        click.echo(msgspec.json.encode(report))
+    else:
+        for problem in report.problems:
+            click.echo(f'error: {problem}')
+        for warning in report.warnings:
+            click.echo(f'warning: {warning}')
+    refused = report.problems or (strict and report.warnings)
+    sys.exit(SettingsError.exit_code if refused else 0)
+
+
+@cli.command()
+@click.option('--json', 'as_json', is_flag=True, help=_JSON_HELP)
+def version(*, as_json: bool) -> None:
+    """Print the version."""
+    found = {'version': __version__, 'protocol': PROTOCOL_VERSION}
+    click.echo(msgspec.json.encode(found) if as_json else __version__)
+
+
 if __name__ == '__main__':
     cli()
--- a/lycheespar/config/schema.py
+++ b/lycheespar/config/schema.py
@@ -73,18 +73,36 @@
         SettingsError
             The file can't be read, or the settings are invalid.
         """
-        try:
-            given = json5.loads(path.read_text('utf-8'))
-        except (OSError, ValueError) as error:
-            raise SettingsError((f'{path}: {error}',)) from error
-        if not isinstance(given, dict):
-            raise SettingsError((f'{path}: must hold one object',))
-        return cls.parse(given)
+        return cls.parse(read_settings(path))
 
     def contradictions(self) -> Iterator[str]:
         """Yield problems between keys that are valid each on its own."""
         return iter(())
 
+    def warnings(self) -> Iterator[str]:
+        """Yield what is allowed but rarely meant."""
+        return iter(())
+
+
+def read_settings(path: Path) -> dict[str, Any]:
+    """Read a file of JSON with comments that holds one object.
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read.
+    """
+    try:
+        given = json5.loads(
+            path.read_text('utf-8'),
+            allow_duplicate_keys=False,
+        )
+    except (OSError, ValueError) as error:
+        raise SettingsError((f'{path}: {error}',)) from error
+    if not isinstance(given, dict):
+        raise SettingsError((f'{path}: must hold one object',))
+    return given
+
 
 def _choose(option: Option[Any], name: str, given: dict[str, Any]) -> Any:
     if name in given:
--- a/lycheespar/config/settings.py
+++ b/lycheespar/config/settings.py
@@ -76,6 +76,25 @@
         low=1,
     )
 
+    def contradictions(self) -> Iterator[str]:
+        """Yield problems between the keys."""
+        if not self.control:
+            yield 'control: names no control host'
+        if self.trace_share and not self.trace_file:
+            yield 'trace_file: is missing although trace_share is not 0'
+
+    def warnings(self) -> Iterator[str]:
+        """Yield what is allowed but rarely meant."""
+        if not self.seeds:
+            yield 'seeds: is empty, so that this node joins no other'
+        if self.serve_stale:
+            yield (
+                'serve_stale: a data centre that is taken out may get new '
+                'work from nodes that are cut off'
+            )
+        if self.data_folder is None:
+            yield 'data_folder: is missing, so that a restart begins empty'
+
 
 class ControlSettings(_CommonSettings):
     """Settings of ``lycheespar control``."""
@@ -104,6 +123,13 @@
         if self.heartbeat_s * 2 > self.election_timeout_s:
             yield 'heartbeat_s: must be at most half of election_timeout_s'
 
+    def warnings(self) -> Iterator[str]:
+        """Yield what is allowed but rarely meant."""
+        if len(self.peers) % 2 == 0:
+            yield 'peers: an even number bears no more losses than one less'
+        if len(self.peers) < 3:
+            yield 'peers: fewer than 3 bear no loss of a host'
+
 
 def documented(schema: type[Schema]) -> list[tuple[str, Option[Any]]]:
     """List the keys of a schema with their options, in order."""
--- a/lycheespar/protocol/framing.py
+++ b/lycheespar/protocol/framing.py
@@ -10,8 +10,8 @@
 
 from lycheespar.errors import FrameTooLargeError, FrameVersionError
 from lycheespar.protocol.messages import Message
+from lycheespar.protocol.version import PROTOCOL_VERSION
 
-PROTOCOL_VERSION: Final = 1
 MAX_FRAME_BYTES: Final = 1024 * 1024
 _HEADER: Final = struct.Struct('>IB')
 
--- /dev/null
+++ b/lycheespar/telemetry/observed.py
@@ -0,0 +1,81 @@
+"""Counts calls by outcome, around the parts that run them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from lycheespar.call import Answer, Call, Dispatch, Execution
+from lycheespar.errors import RequestError
+from lycheespar.telemetry.metrics import Metrics, metric_name
+
+MS_PER_S: Final = 1000
+
+
+class ObservedDispatch:
+    """Counts the calls of this node's callers by service, class, outcome.
+
+    Parameters
+    ----------
+    dispatch : Dispatch
+        Runs the calls.
+    metrics : Metrics
+        Where they are counted.
+    """
+
+    __slots__ = ('_dispatch', '_metrics')
+
+    def __init__(self, dispatch: Dispatch, metrics: Metrics) -> None:
+        """Keep the parts."""
+        self._dispatch = dispatch
+        self._metrics = metrics
+
+    async def dispatch(self, call: Call) -> Answer:
+        """Run and count a call."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        outcome = 'cancelled'
+        try:
+            answer = await self._dispatch.dispatch(call)
+            outcome = f'status_{answer.status}'
+        except RequestError as error:
+            outcome = error.code
+            raise
+        finally:
+            name = metric_name('call', call.service, call.request_class)
+            elapsed_ms = (loop.time() - started_at) * MS_PER_S
+            self._metrics.increment(f'{name}.{outcome}')
+            self._metrics.observe(f'{name}.latency', elapsed_ms)
+        return answer
+
+
+class ObservedExecution:
+    """Counts the calls that reach this node's own target, by outcome.
+
+    Parameters
+    ----------
+    execution : Execution
+        Runs the calls.
+    metrics : Metrics
+        Where they are counted.
+    """
+
+    __slots__ = ('_execution', '_metrics')
+
+    def __init__(self, execution: Execution, metrics: Metrics) -> None:
+        """Keep the parts."""
+        self._execution = execution
+        self._metrics = metrics
+
+    async def execute(self, call: Call) -> Answer:
+        """Run and count a call."""
+        outcome = 'cancelled'
+        try:
+            answer = await self._execution.execute(call)
+            outcome = f'status_{answer.status}'
+        except RequestError as error:
+            outcome = error.code
+            raise
+        finally:
+            self._metrics.increment(f'target.{outcome}')
+        return answer
--- /dev/null
+++ b/lycheespar/tests/config/settings_tests.py
@@ -0,0 +1,94 @@
+"""Tests of the settings of both roles."""
+
+from __future__ import annotations
+
+import pytest
+
+from lycheespar.config.options import Address
+from lycheespar.config.settings import (
+    ControlSettings,
+    NodeSettings,
+    documented,
+)
+from lycheespar.errors import SettingsError
+
+NODE = {
+    'name': 'node-1',
+    'data_centre': 'rotterdam',
+    'http': '127.0.0.1:8080',
+    'announce': '127.0.0.1:8081',
+    'inner': '127.0.0.1:8082',
+    'gossip': '127.0.0.1:8083',
+    'control': {'control-1': '127.0.0.1:9000'},
+}
+CONTROL = {
+    'name': 'control-1',
+    'data_centre': 'rotterdam',
+    'http': '127.0.0.1:9001',
+    'peers': {'control-1': '127.0.0.1:9000'},
+    'data_folder': 'data',
+}
+
+
+def _problems(schema, given) -> tuple[str, ...]:
+    with pytest.raises(SettingsError) as caught:
+        schema.parse(given)
+    return caught.value.problems
+
+
+def test_a_setting_that_is_not_named_has_its_default():
+    settings = NodeSettings.parse(NODE)
+    assert settings.http == Address('127.0.0.1', 8080)
+    assert settings.drain_s == 30
+
+
+def test_all_problems_are_reported_at_once(snapshot):
+    given = NODE | {
+        'http': 'localhost:80',
+        'inner': '127.0.0.1:99999',
+        'drain_s': 'long',
+        'seeds': '127.0.0.1:1',
+        'serve_stale': 1,
+        'log_level': 'LOUD',
+        'colour': 'red',
+    }
+    del given['name']
+    assert _problems(NodeSettings, given) == snapshot
+
+
+def test_keys_that_contradict_each_other_are_named(snapshot):
+    assert _problems(NodeSettings, NODE | {'trace_share': 1}) == snapshot
+    given = CONTROL | {'name': 'control-9', 'heartbeat_s': 5}
+    assert _problems(ControlSettings, given) == snapshot
+
+
+def test_a_file_may_hold_comments(tmp_path):
+    path = tmp_path / 'node.json'
+    path.write_text('// A node.\n{"name": 1, /* one */}')
+    problems = _problems_of_file(path)
+    assert 'name: must be a text that is not empty' in problems
+
+
+def test_a_key_that_stands_twice_is_refused(tmp_path):
+    path = tmp_path / 'node.json'
+    path.write_text('{"name": "a", "name": "b"}')
+    (problem,) = _problems_of_file(path)
+    assert 'name' in problem
+
+
+def test_a_file_that_is_no_json_is_named(tmp_path):
+    path = tmp_path / 'node.json'
+    path.write_text('{"name": ')
+    (problem,) = _problems_of_file(path)
+    assert str(path) in problem
+
+
+def _problems_of_file(path) -> tuple[str, ...]:
+    with pytest.raises(SettingsError) as caught:
+        NodeSettings.load(path)
+    return caught.value.problems
+
+
+@pytest.mark.parametrize('schema', [NodeSettings, ControlSettings])
+def test_each_option_is_documented(schema):
+    assert all(option.doc.endswith('.') for _, option in documented(schema))
--- /dev/null
+++ b/lycheespar/tests/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs, metrics and traces."""
