--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py
+	$(BIN)/python -m pytest -m binary
 
 docs: $(STAMP)
 	$(BIN)/mkdocs build --strict
--- a/lycheespar/tests/whole/path_tests.py
+++ b/lycheespar/tests/whole/path_tests.py
@@ -25,7 +25,7 @@
     planned.stop()
 
 
-async def _configure(session: aiohttp.ClientSession, api: str) -> None:
+async def configure(session: aiohttp.ClientSession, api: str) -> None:
     await wait_until(lambda: answers(session, f'{api}/v1/status', ''))
     await change(
         session,
@@ -54,7 +54,7 @@
 
 async def test_an_answer_comes_whole_through_each_node(cluster):
     async with aiohttp.ClientSession() as session:
-        await _configure(session, cluster.api)
+        await configure(session, cluster.api)
         for node in cluster.nodes.values():
             url = f'{node.url}/a'
             await wait_until(partial(answers, session, url, HOST))
@@ -63,7 +63,7 @@
 
 async def test_a_data_centre_that_is_out_gets_no_new_work(cluster):
     async with aiohttp.ClientSession() as session:
-        await _configure(session, cluster.api)
+        await configure(session, cluster.api)
         node = cluster.nodes['node-0']
         for known in cluster.nodes.values():
             url = f'{known.url}/a'
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -130,6 +130,7 @@
             name: f'127.0.0.1:{free_port("127.0.0.1")}' for name in names
         }
         self.control_settings: dict[str, Any] = {}
+        self.program: tuple[str, ...] = (sys.executable, '-m', 'lycheespar')
 
     @property
     def api(self) -> str:
@@ -237,7 +238,7 @@
         path.write_text(json.dumps(settings, indent=2), 'utf-8')
         return self._start(
             name,
-            [sys.executable, '-m', 'lycheespar', command, str(path)],
+            [*self.program, command, str(path)],
         )
 
     def _start(self, name: str, command: list[str]) -> Process:
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the build."""
--- /dev/null
+++ b/tools/program.py
@@ -0,0 +1,8 @@
+"""Entry point of the frozen program."""
+
+from __future__ import annotations
+
+from lycheespar.__main__ import cli
+
+if __name__ == '__main__':
+    cli(prog_name='lycheespar')
