Control hosts agree by an own replicated log with durable storage

Cause: one control host kept the configuration in one file; its loss lost every accepted change. The stand-in cluster starts three control hosts.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import time
-from pathlib import Path
 from typing import Final
 
 import zmq.asyncio
@@ -163,9 +162,9 @@
 
         settings = self._settings
         context = zmq.asyncio.Context()
-        host = ControlHost(Path(settings.data_folder), context)
-        api = OperatorApi(host.store, host.progress)
-        await host.start(settings.peers[settings.name])
+        host = ControlHost(settings, context)
+        api = OperatorApi(host)
+        await host.start()
         await api.start(settings.http)
         log.info("Control host '{}' serves.", settings.name)
         await stopped.wait()
--- a/lycheespar/control/api.py
+++ b/lycheespar/control/api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -10,14 +11,33 @@
 
 from lycheespar.config.options import Address
 from lycheespar.configuration.changes import Command
-from lycheespar.control.progress import Progress
-from lycheespar.control.store import ConfigurationStore
-from lycheespar.errors import ChangeInvalidError, ControlError
+from lycheespar.control.host import ControlHost
+from lycheespar.control.status import StatusReport, status_of
+from lycheespar.errors import (
+    ChangeConflictError,
+    ChangeInvalidError,
+    ControlError,
+    RequestInvalidError,
+)
 
 log = logger.bind(part='control')
 
 _commands = msgspec.json.Decoder(Command)
-_encoder = msgspec.json.Encoder()
+_encoder = msgspec.json.Encoder(order='sorted')
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class ChangeReply(msgspec.Struct, frozen=True):
+    """Body of the answer to an accepted change.
+
+    Attributes
+    ----------
+    revision : int
+        Revision that the change made.
+    """
+
+    revision: int
 
 
 class OperatorApi:
@@ -25,17 +45,15 @@
 
     Parameters
     ----------
-    store : ConfigurationStore
-        Accepts changes.
-    progress : Progress
-        Knows which revision is in force at which node.
+    host : ControlHost
+        This control host.
     """
 
-    def __init__(self, store: ConfigurationStore, progress: Progress) -> None:
-        """Keep the parts; `start` opens the port."""
-        self._store = store
-        self._progress = progress
-        app = web.Application()
+    def __init__(self, host: ControlHost) -> None:
+        """Keep the host; `start` opens the port."""
+        self._host = host
+        self._group = host.group
+        app = web.Application(middlewares=(_coded_errors,))
         app.add_routes(
             (
                 web.get('/v1/configuration', self._configuration),
@@ -56,27 +74,41 @@
         await self._runner.cleanup()
 
     async def _configuration(self, request: web.Request) -> web.Response:
-        return _reply(self._store.current)
+        state = await self._group.read()
+        return _reply(state.configuration)
 
     async def _history(self, request: web.Request) -> web.Response:
-        return _reply(self._store.history)
+        state = await self._group.read()
+        return _reply(state.history)
 
     async def _status(self, request: web.Request) -> web.Response:
-        revision = int(
-            request.query.get('revision', self._store.current.revision),
-        )
-        return _reply(self._progress.report(revision))
+        """Answer from this host alone, also without a quorum."""
+        given = request.query.get('revision', '')
+        if given and not given.isdecimal():
+            raise RequestInvalidError('revision: must be a whole number')
+        revision = int(given) if given else self._group.state.revision
+        report: StatusReport = await status_of(self._host, revision)
+        return _reply(report)
 
     async def _change(self, request: web.Request) -> web.Response:
         try:
             command = _commands.decode(await request.read())
-            revision = await self._store.submit(command)
         except msgspec.DecodeError as error:
-            return _problem(ChangeInvalidError((str(error),)))
-        except ControlError as error:
-            return _problem(error)
+            raise ChangeInvalidError((str(error),)) from error
+        revision = await self._group.submit(command)
         log.info("Operator '{}' made revision {}.", command.operator, revision)
-        return _reply({'revision': revision})
+        return _reply(ChangeReply(revision))
+
+
+@web.middleware
+async def _coded_errors(
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except ControlError as error:
+        return _problem(error)
 
 
 def _reply(content: Any) -> web.Response:
@@ -93,8 +125,11 @@
         'code': error.code,
         'detail': error.detail,
     }
-    if isinstance(error, ChangeInvalidError):
-        body['problems'] = error.problems
+    match error:
+        case ChangeInvalidError(problems=problems):
+            body['problems'] = problems
+        case ChangeConflictError(revision=revision):
+            body['revision'] = revision
     return web.Response(
         status=error.status,
         body=_encoder.encode(body),
--- /dev/null
+++ b/lycheespar/control/files.py
@@ -0,0 +1,65 @@
+"""Durable files: written whole and synced, or not at all."""
+
+from __future__ import annotations
+
+import errno
+import os
+from pathlib import Path
+from typing import Final
+
+from lycheespar.errors import StorageError, StorageFullError
+
+_FULL: Final = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
+_TEMPORARY: Final = '.new'
+
+
+def storage_error(error: OSError) -> StorageError:
+    """Return the coded error for a failure of the operating system."""
+    if error.errno in _FULL:
+        return StorageFullError('the disk of the data folder is full')
+    return StorageError(f'the data folder: {error}')
+
+
+def write_all(file: int, content: bytes) -> None:
+    """Write all bytes to a file descriptor."""
+    view = memoryview(content)
+    while view:
+        view = view[os.write(file, view) :]
+
+
+def sync_folder(folder: Path) -> None:
+    """Sync the names in a folder."""
+    opened = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(opened)
+    finally:
+        os.close(opened)
+
+
+def replace_file(path: Path, content: bytes) -> None:
+    """Replace a file atomically and durably.
+
+    Raises
+    ------
+    StorageFullError
+        The disk is full; the old file stands.
+    StorageError
+        Another failure.
+    """
+    temporary = path.with_name(path.name + _TEMPORARY)
+    try:
+        _write_synced(temporary, content)
+        temporary.replace(path)
+        sync_folder(path.parent)
+    except OSError as error:
+        temporary.unlink(missing_ok=True)
+        raise storage_error(error) from error
+
+
+def _write_synced(path: Path, content: bytes) -> None:
+    opened = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        write_all(opened, content)
+        os.fsync(opened)
+    finally:
+        os.close(opened)
--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -1,21 +1,42 @@
-"""A control host: answers the pulls of nodes."""
+"""A control host: answers the nodes and the other control hosts."""
 
 from __future__ import annotations
 
+import random
 from pathlib import Path
+from typing import Final
 
 import zmq.asyncio
+from loguru import logger
 
-from lycheespar.config.options import Address
+from lycheespar.config.settings import ControlSettings
+from lycheespar.control.group import Group
 from lycheespar.control.link import LinkServer
 from lycheespar.control.messages import (
     ControlReply,
     ControlRequest,
+    Failure,
     Pull,
     PullReply,
 )
-from lycheespar.control.progress import Progress
-from lycheespar.control.store import ConfigurationStore
+from lycheespar.control.peer_messages import (
+    AskProgress,
+    PeerReply,
+    PeerRequest,
+    ProgressReply,
+)
+from lycheespar.control.peers import PeerLinks, Timing, ask_all
+from lycheespar.control.progress import Progress, ProgressReport, report
+from lycheespar.control.replica import Replica
+from lycheespar.control.storage import Storage
+from lycheespar.errors import ControlError, NotCurrentError
+
+MS_PER_S: Final = 1000
+
+log = logger.bind(part='control')
+
+HostRequest = ControlRequest | PeerRequest
+HostReply = ControlReply | PeerReply
 
 
 class ControlHost:
@@ -23,36 +44,126 @@
 
     Parameters
     ----------
-    folder : Path
-        Data folder.
+    settings : ControlSettings
+        Validated settings.
     context : zmq.asyncio.Context
         Context of the process.
+
+    Raises
+    ------
+    StorageError
+        The data folder can't be used.
     """
 
-    def __init__(self, folder: Path, context: zmq.asyncio.Context) -> None:
-        """Open the data folder."""
-        self.store = ConfigurationStore(folder)
-        self.progress = Progress()
-        self._server: LinkServer[ControlRequest, ControlReply] = LinkServer(
+    def __init__(
+        self,
+        settings: ControlSettings,
+        context: zmq.asyncio.Context,
+    ) -> None:
+        """Open the data folder and connect to the other control hosts."""
+        self._timing = Timing(
+            settings.heartbeat_s,
+            settings.election_timeout_s,
+        )
+        self._address = settings.peers[settings.name]
+        self._storage = Storage(Path(settings.data_folder))
+        others = {
+            host: address
+            for host, address in settings.peers.items()
+            if host != settings.name
+        }
+        self._links = PeerLinks(context, others)
+        replica = Replica(
+            settings.name,
+            self._storage,
+            settings.snapshot_every,
+        )
+        self.group = Group(
+            replica,
+            self._links,
+            others,
+            self._timing,
+            random.Random(),
+        )
+        self._progress = Progress()
+        self._server: LinkServer[HostRequest, HostReply] = LinkServer(
             context,
-            ControlRequest,
-            self._handle,
+            HostRequest,
+            self._answer,
         )
 
-    async def start(self, address: Address) -> None:
-        """Listen on an address."""
-        await self._server.start(address)
+    async def start(self) -> None:
+        """Open the port and take part in the group."""
+        await self._server.start(self._address)
+        self.group.start()
 
     def stop(self) -> None:
-        """Close the port."""
+        """Close the port, the links and the data folder."""
+        self.group.stop()
         self._server.close()
+        self._links.close()
+        self._storage.close()
+
+    @property
+    def fresh(self) -> bool:
+        """Whether this host surely has a current state."""
+        stamp = self.group.stamp
+        limit_s = 2 * self._timing.election_timeout_s
+        return stamp.round > 0 and stamp.age_ms < limit_s * MS_PER_S
+
+    async def progress(self, revision: int) -> ProgressReport:
+        """Report how far a revision is in force, from all control hosts."""
+        nodes = list(self._progress.nodes)
+        async for _, reply in ask_all(
+            self._links,
+            self.group.others,
+            AskProgress(),
+            self._timing.reply_s,
+        ):
+            match reply:
+                case ProgressReply(others):
+                    nodes.extend(others)
+        return report(revision, nodes)
 
-    async def _handle(self, request: ControlRequest) -> ControlReply:
+    async def _answer(self, request: HostRequest) -> HostReply:
+        try:
+            return await self._handle(request)
+        except ControlError as error:
+            return Failure(error.code, error.detail)
+
+    async def _handle(self, request: HostRequest) -> HostReply:
         match request:
-            case Pull(node, revision, wait_s):
-                self.progress.note(node, revision)
-                await self.store.wait_beyond(revision, wait_s)
-                return PullReply(
-                    self.store.stamp,
-                    self.store.changes_since(revision),
-                )
+            case Pull():
+                return await self._pull(request)
+            case AskProgress():
+                return ProgressReply(self._progress.nodes)
+            case _:
+                return await self.group.handle(request)
+
+    async def _pull(self, request: Pull) -> PullReply:
+        """Send what is newer than the node's revision.
+
+        Raises
+        ------
+        NotCurrentError
+            There is nothing newer here, but there may be elsewhere.
+        """
+        self._progress.note(request.node, request.revision)
+        await self.group.wait_beyond(request.revision, request.wait_s)
+        state = self.group.state
+        if state.revision <= request.revision and not self.fresh:
+            raise NotCurrentError
+        if state.revision < request.revision and self.group.leading:
+            log.error(
+                "Node '{}' has revision {}, beyond the group's {}.",
+                request.node,
+                request.revision,
+                state.revision,
+            )
+        changes = state.changes_since(request.revision)
+        if changes is None:
+            return PullReply(
+                self.group.stamp,
+                configuration=state.configuration,
+            )
+        return PullReply(self.group.stamp, changes)
--- a/lycheespar/control/link.py
+++ b/lycheespar/control/link.py
@@ -67,6 +67,8 @@
         )
         self._socket = context.socket(zmq.DEALER)
         _tune(self._socket)
+        # Queue nothing for a host that is away: it would arrive late.
+        self._socket.set(zmq.IMMEDIATE, 1)
         self._socket.set(zmq.RECONNECT_IVL, RECONNECT_MS)
         self._socket.set(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         self._socket.connect(f'tcp://{address}')
--- a/lycheespar/control/progress.py
+++ b/lycheespar/control/progress.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterable
 from typing import Final
 
 import msgspec
 
+from lycheespar.control.peer_messages import NodeProgress
+
 FORGET_AFTER_S: Final = 30
 
 
@@ -29,7 +32,7 @@
 
 
 class Progress:
-    """Remembers the revision that each node last reported."""
+    """Remembers the revision that each node last reported to this host."""
 
     __slots__ = ('_reports',)
 
@@ -37,20 +40,40 @@
         """Start without reports."""
         self._reports: dict[str, tuple[int, float]] = {}
 
+    @property
+    def nodes(self) -> tuple[NodeProgress, ...]:
+        """What the nodes heard of lately reported."""
+        now = time.monotonic()
+        self._reports = {
+            node: (revision, noted_at)
+            for node, (revision, noted_at) in self._reports.items()
+            if now - noted_at < FORGET_AFTER_S
+        }
+        return tuple(
+            NodeProgress(node, revision, now - noted_at)
+            for node, (revision, noted_at) in self._reports.items()
+        )
+
     def note(self, node: str, revision: int) -> None:
         """Note the revision in force at a node."""
         self._reports[node] = (revision, time.monotonic())
 
-    def report(self, revision: int) -> ProgressReport:
-        """Report on one revision."""
-        oldest = time.monotonic() - FORGET_AFTER_S
-        lately = {
-            node: reached
-            for node, (reached, noted_at) in self._reports.items()
-            if noted_at > oldest
-        }
-        return ProgressReport(
-            revision,
-            tuple(node for node in lately if lately[node] >= revision),
-            tuple(node for node in lately if lately[node] < revision),
-        )
+
+def report(revision: int, nodes: Iterable[NodeProgress]) -> ProgressReport:
+    """Report on one revision; the youngest report of each node counts.
+
+    Parameters
+    ----------
+    revision : int
+        The revision.
+    nodes : Iterable[NodeProgress]
+        Reports to all control hosts.
+    """
+    oldest_first = sorted(nodes, key=lambda node: -node.age_s)
+    reached = {node.node: node.revision for node in oldest_first}
+    names = sorted(reached)
+    return ProgressReport(
+        revision,
+        tuple(name for name in names if reached[name] >= revision),
+        tuple(name for name in names if reached[name] < revision),
+    )
--- /dev/null
+++ b/lycheespar/control/state.py
@@ -0,0 +1,183 @@
+"""State that the entries of the log build, equal on all control hosts."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from lycheespar.configuration.changes import Change, Command, apply
+from lycheespar.configuration.model import Configuration
+from lycheespar.control.entries import (
+    BeginTerm,
+    FormGroup,
+    LogEntry,
+    Proposal,
+    ReplaceDisk,
+    Voters,
+)
+from lycheespar.errors import ChangeConflictError, ChangeInvalidError
+
+# Change ids whose outcome is remembered; the oldest are forgotten first.
+OUTCOMES_KEPT: Final = 10_000
+# Accepted changes that are kept for the history and for nodes behind.
+HISTORY_KEPT: Final = 1000
+
+
+class Accepted(msgspec.Struct, frozen=True, tag='accepted'):
+    """The command made a revision."""
+
+    revision: int
+
+
+class Conflicted(msgspec.Struct, frozen=True, tag='conflicted'):
+    """The command was made against another revision than the current one."""
+
+    revision: int
+
+
+class Invalid(msgspec.Struct, frozen=True, tag='invalid'):
+    """The command is invalid; its problems are listed."""
+
+    problems: tuple[str, ...]
+
+
+CommandOutcome = Accepted | Conflicted | Invalid
+
+
+class AcceptedChange(msgspec.Struct, frozen=True):
+    """One line of the history.
+
+    Attributes
+    ----------
+    revision : int
+        Revision that the command made.
+    command : Command
+        The command.
+    """
+
+    revision: int
+    command: Command
+
+
+class GroupState(msgspec.Struct):
+    """State after the entries up to an index.
+
+    Attributes
+    ----------
+    index, term : int
+        Position and term of the last entry applied.
+    group : str
+        Id of the group; empty before it is formed.
+    founders : Voters
+        First voters of the group.
+    voters : Voters
+        Disk id of each control host that votes.
+    configuration : Configuration
+        The accepted configuration.
+    outcomes : dict[str, CommandOutcome]
+        Outcomes by change id, oldest first.
+    history : list[AcceptedChange]
+        The latest accepted changes, oldest first.
+    """
+
+    index: int = 0
+    term: int = 0
+    group: str = ''
+    founders: Voters = {}
+    voters: Voters = {}
+    configuration: Configuration = Configuration()
+    outcomes: dict[str, CommandOutcome] = {}
+    history: list[AcceptedChange] = []
+
+    @property
+    def revision(self) -> int:
+        """Revision of the configuration."""
+        return self.configuration.revision
+
+    def apply(self, entry: LogEntry) -> None:
+        """Apply the entry that follows."""
+        self.index = entry.index
+        self.term = entry.term
+        match entry.content:
+            case FormGroup(group, voters):
+                self.group = group
+                self.founders = voters
+                self.voters = voters
+            case ReplaceDisk(host, disk):
+                self.voters = self.voters | {host: disk}
+            case Proposal(command):
+                self._decide(command)
+            case BeginTerm():
+                return
+
+    def refusal(self, command: Command) -> CommandOutcome | None:
+        """Return the outcome that a command is bound to have, if known.
+
+        A command that is refused here can't be accepted later: revisions
+        only grow, and a change is validated against its own base.
+        """
+        known = self.outcomes.get(command.change_id)
+        if known is not None:
+            return known
+        if command.base_revision < self.revision:
+            return Conflicted(self.revision)
+        if command.base_revision > self.revision:
+            return None
+        try:
+            apply(self.configuration, command.change)
+        except ChangeInvalidError as error:
+            return Invalid(error.problems)
+        return None
+
+    def changes_since(self, revision: int) -> tuple[Change, ...] | None:
+        """Return the changes after a revision; None if some are forgotten."""
+        missing = self.revision - revision
+        if missing <= 0:
+            return ()
+        if missing > len(self.history):
+            return None
+        return tuple(
+            accepted.command.change for accepted in self.history[-missing:]
+        )
+
+    def _decide(self, command: Command) -> None:
+        if command.change_id in self.outcomes:
+            return
+        self.outcomes[command.change_id] = self._outcome(command)
+        if len(self.outcomes) > OUTCOMES_KEPT:
+            self.outcomes.pop(next(iter(self.outcomes)))
+
+    def _outcome(self, command: Command) -> CommandOutcome:
+        if command.base_revision != self.revision:
+            return Conflicted(self.revision)
+        try:
+            self.configuration = apply(self.configuration, command.change)
+        except ChangeInvalidError as error:
+            return Invalid(error.problems)
+        self.history.append(AcceptedChange(self.revision, command))
+        if len(self.history) > HISTORY_KEPT:
+            self.history.pop(0)
+        return Accepted(self.revision)
+
+
+def revision_of(outcome: CommandOutcome) -> int:
+    """Return the revision that a command made.
+
+    Raises
+    ------
+    ChangeConflictError
+        It was made against another revision than the current one.
+    ChangeInvalidError
+        It is invalid.
+    """
+    match outcome:
+        case Accepted(revision):
+            return revision
+        case Conflicted(revision):
+            raise ChangeConflictError(
+                f'the current revision is {revision}',
+                revision,
+            )
+        case Invalid(problems):
+            raise ChangeInvalidError(problems)
--- /dev/null
+++ b/lycheespar/control/storage.py
@@ -0,0 +1,241 @@
+"""The data folder of a control host: identity, snapshot and log.
+
+Files: ``lock``; ``identity`` with disk id, term and vote; ``snapshot`` with
+the state up to an index; ``log`` with the entries behind it.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import uuid
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final, TypeVar
+
+import msgspec
+from loguru import logger
+from msgspec.structs import replace
+
+from lycheespar.control.entries import LogEntry
+from lycheespar.control.files import replace_file, storage_error
+from lycheespar.control.journal import Journal
+from lycheespar.control.records import encode_record, read_records
+from lycheespar.control.state import GroupState
+from lycheespar.errors import (
+    StorageDamagedError,
+    StorageError,
+    StorageLockedError,
+)
+
+_LOCK: Final = 'lock'
+_IDENTITY: Final = 'identity'
+_SNAPSHOT: Final = 'snapshot'
+_LOG: Final = 'log'
+
+Stored = TypeVar('Stored')
+
+log = logger.bind(part='control')
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """What a control host must not forget besides the log.
+
+    Attributes
+    ----------
+    disk : str
+        Id of this data folder, made when it was first written.
+    term : int
+        Newest term known.
+    vote : str
+        Candidate that got this host's vote in the term; empty for none.
+    voters_index : int
+        Index of the newest change of the voters known to be committed.
+    """
+
+    disk: str
+    term: int = 0
+    vote: str = ''
+    voters_index: int = 0
+
+
+class Storage:
+    """Durable state of a control host.
+
+    Parameters
+    ----------
+    folder : Path
+        Data folder; created if need be.
+
+    Raises
+    ------
+    StorageLockedError
+        Another process uses the folder.
+    StorageDamagedError
+        A file is damaged or missing.
+    """
+
+    __slots__ = (
+        '_base_index',
+        '_base_term',
+        '_folder',
+        '_journal',
+        '_lock',
+        'identity',
+        'snapshot',
+    )
+
+    _journal: Journal
+
+    def __init__(self, folder: Path) -> None:
+        """Lock the folder and read all files."""
+        self.identity = Identity('')
+        self._folder = folder
+        self._lock = _lock(folder)
+        try:
+            self._load()
+        except BaseException:
+            os.close(self._lock)
+            raise
+
+    @property
+    def base_index(self) -> int:
+        """Index of the last entry in the snapshot."""
+        return self._base_index
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self._base_index + len(self._journal.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        entries = self._journal.entries
+        return entries[-1].term if entries else self._base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry; None where it isn't held."""
+        if index == self._base_index:
+            return self._base_term
+        if self._base_index < index <= self.last_index:
+            return self._journal.entries[index - self._base_index - 1].term
+        return None
+
+    def entries(self, first: int, limit: int | None = None) -> list[LogEntry]:
+        """Return entries from an index behind the snapshot on."""
+        start = first - self._base_index - 1
+        stop = None if limit is None else start + limit
+        return self._journal.entries[start:stop]
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Append and sync entries.
+
+        Raises
+        ------
+        StorageFullError
+            The disk is full; nothing was appended.
+        """
+        self._journal.append(entries)
+
+    def truncate(self, first: int) -> None:
+        """Drop the entries from an index on."""
+        self._journal.truncate(first - self._base_index - 1)
+
+    def save(self, identity: Identity) -> None:
+        """Save the identity."""
+        if identity == self.identity:
+            return
+        content = encode_record(_encoder.encode(identity))
+        replace_file(self._folder / _IDENTITY, content)
+        self.identity = identity
+
+    def vote(self, term: int, candidate: str) -> None:
+        """Save a newer term, and who got the vote in it."""
+        self.save(replace(self.identity, term=term, vote=candidate))
+
+    def compact(self, state: GroupState) -> None:
+        """Save a snapshot and drop the entries that it covers."""
+        kept: list[LogEntry] = []
+        if self.term_at(state.index) == state.term:
+            kept = self.entries(state.index + 1)
+        content = encode_record(_encoder.encode(state))
+        replace_file(self._folder / _SNAPSHOT, content)
+        self._journal.rewrite(kept)
+        self._base_index, self._base_term = state.index, state.term
+        log.info('The snapshot holds the log up to {}.', state.index)
+
+    def close(self) -> None:
+        """Close the files and release the lock."""
+        self._journal.close()
+        os.close(self._lock)
+
+    def _load(self) -> None:
+        """Read identity, snapshot and log."""
+        identity = self._read(_IDENTITY, Identity)
+        snapshot = self._read(_SNAPSHOT, GroupState)
+        fresh = not (self._folder / _LOG).exists() and snapshot is None
+        if identity is None and not fresh:
+            raise StorageDamagedError("'identity' is missing")
+        if identity and identity.term and not (self._folder / _LOG).exists():
+            raise StorageDamagedError("'log' is missing")
+        self.snapshot = snapshot or GroupState()
+        self._base_index = self.snapshot.index
+        self._base_term = self.snapshot.term
+        self._journal = Journal(self._folder / _LOG)
+        self._skip_covered()
+        if identity is None:
+            self.save(Identity(uuid.uuid4().hex))
+        else:
+            self.identity = identity
+        if self.identity.voters_index > self.last_index:
+            raise StorageDamagedError("'log' lacks entries that were synced")
+
+    def _skip_covered(self) -> None:
+        """Drop entries that the snapshot covers, after a crash between."""
+        entries = self._journal.entries
+        kept = [entry for entry in entries if entry.index > self._base_index]
+        if any(self._contradicts(entry) for entry in entries):
+            kept = []
+        expected = range(self._base_index + 1, self._base_index + 1 + len(kept))
+        if [entry.index for entry in kept] != list(expected):
+            raise StorageDamagedError("'log' doesn't follow the snapshot")
+        if len(kept) < len(entries):
+            self._journal.rewrite(kept)
+
+    def _contradicts(self, entry: LogEntry) -> bool:
+        """Whether an entry was replaced by the snapshot of a leader."""
+        return entry.index == self._base_index and (
+            entry.term != self._base_term
+        )
+
+    def _read(self, name: str, stored_type: type[Stored]) -> Stored | None:
+        path = self._folder / name
+        if not path.exists():
+            return None
+        records = list(read_records(path.read_bytes(), name))
+        if len(records) != 1:
+            raise StorageDamagedError(f"'{name}' is damaged")
+        try:
+            return msgspec.msgpack.decode(records[0][1], type=stored_type)
+        except msgspec.DecodeError as error:
+            raise StorageDamagedError(f"'{name}': {error}") from error
+
+
+def _lock(folder: Path) -> int:
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        opened = os.open(folder / _LOCK, os.O_RDWR | os.O_CREAT, 0o600)
+    except OSError as error:
+        raise storage_error(error) from error
+    try:
+        fcntl.flock(opened, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError as error:
+        os.close(opened)
+        raise StorageLockedError(f"another process uses '{folder}'") from error
+    except OSError as error:
+        os.close(opened)
+        raise StorageError(str(error)) from error
+    return opened
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -291,11 +291,25 @@
         self.problems = problems
 
 
+class RequestInvalidError(ControlError):
+    """A request to the operators' API can't be understood."""
+
+    code = 'request_invalid'
+    status = 400
+    exit_code = 2
+
+
 class ChangeConflictError(ControlError):
     """The change was made against a revision that is not the current one."""
 
     code = 'conflict'
     status = 409
+    exit_code = 4
+
+    def __init__(self, detail: str = '', revision: int = 0) -> None:
+        """Keep the detail and the current revision."""
+        super().__init__(detail)
+        self.revision = revision
 
 
 class NoQuorumError(ControlError):
@@ -303,6 +317,7 @@
 
     code = 'no_quorum'
     status = 503
+    exit_code = 5
 
 
 class NotLeaderError(ControlError):
@@ -331,6 +346,26 @@
     status = 507
 
 
+class StorageLockedError(StorageError):
+    """Another process uses the data folder."""
+
+    code = 'storage_locked'
+
+
+class NotCurrentError(ControlError):
+    """This control host can't confirm that its state is current."""
+
+    code = 'not_current'
+    status = 503
+
+
+class OtherGroupError(ControlError):
+    """The message belongs to another group of control hosts."""
+
+    code = 'other_group'
+    status = 421
+
+
 def _family(root: type[RequestError]) -> dict[str, type[RequestError]]:
     """Map the codes of a class and all its descendants to the classes."""
     found = {root.code: root}
@@ -365,3 +400,35 @@
 
 
 _REQUEST_ERRORS = _family(RequestError)
+
+
+def control_error(code: str, detail: str) -> ControlError:
+    """Build the control error that a code names.
+
+    Parameters
+    ----------
+    code : str
+        Code received from a control host.
+    detail : str
+        Short sentence for people.
+
+    Returns
+    -------
+    ControlError
+        An error of the named type; `ControlError` for unknown codes.
+    """
+    return _CONTROL_ERRORS.get(code, ControlError)(detail)
+
+
+_CONTROL_ERRORS: dict[str, type[ControlError]] = {
+    found.code: found
+    for found in (
+        NoQuorumError,
+        NotLeaderError,
+        NotCurrentError,
+        OtherGroupError,
+        StorageError,
+        StorageDamagedError,
+        StorageFullError,
+    )
+}
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -116,7 +116,7 @@
         Number of control hosts.
     """
 
-    def __init__(self, folder: Path, control_hosts: int = 1) -> None:
+    def __init__(self, folder: Path, control_hosts: int = 3) -> None:
         """Plan the control hosts; `start` starts all."""
         self.folder = folder
         self.nodes: dict[str, NodePlan] = {}
