--- a/lycheespar/control/ballots.py
+++ b/lycheespar/control/ballots.py
@@ -27,13 +27,6 @@
         self._replica = replica
         self._timing = timing
 
-    @property
-    def _leader_lost(self) -> bool:
-        """Whether no leader was heard for the election timeout."""
-        now = asyncio.get_running_loop().time()
-        silence_s = now - self._replica.heard_at
-        return silence_s >= self._timing.election_timeout_s
-
     def take(self, request: RequestVote) -> VoteReply:
         """Answer a candidate."""
         replica = self._replica
@@ -50,6 +43,13 @@
             replica.committed,
         )
 
+    @property
+    def _leader_lost(self) -> bool:
+        """Whether no leader was heard for the election timeout."""
+        now = asyncio.get_running_loop().time()
+        silence_s = now - self._replica.heard_at
+        return silence_s >= self._timing.election_timeout_s
+
     def _is_behind(self, last: Mark) -> bool:
         """Whether a log with that last entry holds all that this one does."""
         own = self._replica.last
