--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,6 @@
 
 docs: $(STAMP)
 	$(BIN)/mkdocs build --strict
+
+settings-page: $(STAMP)
+	$(BIN)/python -m tools.settings_page
--- /dev/null
+++ b/tools/settings_page.py
@@ -0,0 +1,64 @@
+"""Writes the reference page of the settings from the declared schema."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, Final
+
+from lycheespar.config.options import Option
+from lycheespar.config.schema import Schema
+from lycheespar.config.settings import (
+    ControlSettings,
+    NodeSettings,
+    documented,
+)
+
+PAGE: Final = Path(__file__).parents[1] / 'docs' / 'user' / 'settings.md'
+
+_INTRODUCTION: Final = """# Settings
+
+Settings are JSON with comments. All problems are reported at once, each with
+its key; `lycheespar check SETTINGS` does so without starting anything. Exit
+code 2 says that settings were refused.
+"""
+
+
+def settings_page() -> str:
+    """Return the page."""
+    return '\n'.join(
+        (
+            _INTRODUCTION,
+            *_section('lycheespar node', NodeSettings),
+            '',
+            *_section('lycheespar control', ControlSettings),
+            '',
+        ),
+    )
+
+
+def _section(title: str, schema: type[Schema]) -> Iterator[str]:
+    yield f'## `{title}`\n'
+    yield '| key | kind | default | meaning |'
+    yield '| --- | --- | --- | --- |'
+    for name, option in documented(schema):
+        default = _default(option)
+        yield f'| `{name}` | {option.kind} | {default} | {option.doc} |'
+
+
+def _default(option: Option[Any]) -> str:
+    if option.required:
+        return 'must be set'
+    match option.default:
+        case None:
+            return 'none'
+        case ():
+            return 'empty'
+        case bool(flag):
+            return str(flag).lower()
+        case other:
+            return str(other)
+
+
+if __name__ == '__main__':
+    PAGE.write_text(settings_page(), 'utf-8')
