Membership: failure detection with refutation, bounded gossip, safe freshness stamps

Cause: the digest sent everything to three nodes each period, grew with the number of nodes, declared nodes dead on own silence, never forgot them, and took the age of a stamp from unsolicited datagrams, which may have waited in a socket's buffer while the process was stopped. The follower stayed at a control host that was cut off and held all its pulls for one second.

Change: pings, indirect pings, suspicion and refutation; news sent a bounded number of times within a byte budget; tables compared by checksums; tombstones; seeds and dead members probed for ever. Stamps are taken from replies only and grow by the round trip. The follower turns away from silent, cut-off and lagging control hosts, adapts its wait, applies overlapping changes once, and saves the last configuration. A stamp confirms whatever revision it reaches, and never one below.

Ruled out: adopting 'dead' from others (two healed halves would declare each other's members dead); pushing stamps (their age can't be bounded).

Proof: the new tests under tests/membership, tests/configuration, tests/control pass.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -19,6 +19,7 @@
 from lycheespar.control.follower import ConfigurationFollower
 from lycheespar.control.link import ControlLink
 from lycheespar.control.messages import ControlReply
+from lycheespar.control.saved import SavedConfiguration
 from lycheespar.ingress.server import IngressServer
 from lycheespar.membership.broadcast import BroadcastTable
 from lycheespar.membership.gossip import Gossip
@@ -53,7 +54,14 @@
         self._settings = settings
         incarnation = time.time_ns()
         self._target = LocalTarget()
-        self._configuration = ConfigurationView(Configuration())
+        self._saved = (
+            SavedConfiguration(Path(settings.data_folder))
+            if settings.data_folder
+            else None
+        )
+        self._configuration = ConfigurationView(
+            self._saved.load() if self._saved else Configuration(),
+        )
         self._members = MembershipView()
         advertised = settings.advertise_inner or settings.inner
         own = MemberRecord(
@@ -109,6 +117,7 @@
                 ControlLink(context, address, ControlReply)
                 for address in settings.control.values()
             ],
+            self._saved,
         )
         follower.start()
         await self._gossip.start()
--- a/lycheespar/configuration/stamp.py
+++ b/lycheespar/configuration/stamp.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import math
+import time
+from typing import Final
+
 import msgspec
 
+MS_PER_S: Final = 1000
+
 
 class Stamp(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Issued by the leader after each round with a quorum.
@@ -17,10 +23,38 @@
     round : int
         Number of the round within the term.
     age_ms : float
-        Age of the stamp; each relay adds the time that it held it.
+        Greatest age that the stamp can have; each relay adds the time that it
+        held it, and each receiver the round trip in which it came.
     """
 
     term: int = 0
     revision: int = 0
     round: int = 0
     age_ms: float = 0
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether the age can be an age."""
+        return math.isfinite(self.age_ms) and self.age_ms >= 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Order in which stamps were issued."""
+        return (self.term, self.round)
+
+    def aged(self, seconds: float) -> Stamp:
+        """Return the stamp after a further time."""
+        return Stamp(
+            self.term,
+            self.revision,
+            self.round,
+            self.age_ms + seconds * MS_PER_S,
+        )
+
+
+def steady_time() -> float:
+    """Return seconds of a clock that never goes back.
+
+    The clock also runs while the machine is suspended.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from pathlib import Path
 
 import zmq.asyncio
 
 from lycheespar.config.options import Address
+from lycheespar.configuration.stamp import MS_PER_S
 from lycheespar.control.link import LinkServer
 from lycheespar.control.messages import (
     ControlReply,
@@ -51,8 +53,12 @@
         match request:
             case Pull(node, revision, wait_s):
                 self.progress.note(node, revision)
+                began_at = time.monotonic()
                 await self.store.wait_beyond(revision, wait_s)
+                held_ms = (time.monotonic() - began_at) * MS_PER_S
                 return PullReply(
                     self.store.stamp,
                     self.store.changes_since(revision),
+                    held_ms=held_ms,
+                    base_revision=revision,
                 )
--- a/lycheespar/control/messages.py
+++ b/lycheespar/control/messages.py
@@ -40,12 +40,21 @@
     changes : tuple[Change, ...]
         Accepted changes that follow the revision asked for, in order.
     configuration : Configuration | None
-        Whole configuration, where the changes are no longer kept.
+        Whole configuration, where the changes are no longer kept; the changes
+        then follow its revision.
+    held_ms : float
+        Time in milliseconds from the receipt of the pull to the moment at
+        which the stamp had the age that it shows.
+    base_revision : int
+        Revision that the first change follows; negative for the revision
+        asked for.
     """
 
     stamp: Stamp
     changes: tuple[Change, ...] = ()
     configuration: Configuration | None = None
+    held_ms: float = 0
+    base_revision: int = -1
 
 
 class Failure(msgspec.Struct, frozen=True, tag='failure'):
--- a/lycheespar/membership/gossip.py
+++ b/lycheespar/membership/gossip.py
@@ -1,58 +1,50 @@
-"""Gossip over UDP: spreads records and freshness stamps."""
+"""Gossip over UDP: spreads records, facts and freshness stamps."""
 
 from __future__ import annotations
 
 import asyncio
-import itertools
 import random
 from typing import Final
 
-import msgspec
 from loguru import logger
 from msgspec.structs import replace
 
 from lycheespar.config.options import Address
-from lycheespar.configuration.stamp import Stamp
 from lycheespar.configuration.view import ConfigurationView
-from lycheespar.membership.broadcast import Broadcast, BroadcastTable
-from lycheespar.membership.records import Liveness, MemberRecord
+from lycheespar.membership.broadcast import BroadcastTable
+from lycheespar.membership.detector import PROBE_PERIOD_S, Detector
+from lycheespar.membership.endpoint import Endpoint, HostPort
+from lycheespar.membership.messages import (
+    Ack,
+    Contents,
+    Datagram,
+    IndirectAck,
+    News,
+    Ping,
+    PingRequest,
+    Records,
+    Summary,
+    Want,
+    sender_of,
+)
+from lycheespar.membership.news import NewsQueue
+from lycheespar.membership.records import Liveness, MemberRecord, Verdict
+from lycheespar.membership.synchronization import Synchronizer
+from lycheespar.membership.tracker import MemberTracker
 from lycheespar.membership.view import MembershipView
 
-GOSSIP_PERIOD_S: Final = 0.2
-FANOUT: Final = 3
-RECORDS_A_MESSAGE: Final = 12
-SILENCE_S: Final = 3
+# Times between two probes of a seed or a dead member, in seconds: usual, and
+# while no other member is known.
+REJOIN_PERIOD_S: Final = 5
+JOIN_PERIOD_S: Final = 0.5
+# Members that are told at once of a planned leave.
+LEAVE_FANOUT: Final = 8
 
 log = logger.bind(part='membership')
 
 
-class Digest(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Some records and the newest stamp of the sender.
-
-    Attributes
-    ----------
-    sender : str
-        Identity of the sending node.
-    stamp : Stamp
-        Newest stamp of the sender.
-    records : tuple[MemberRecord, ...]
-        Some of the sender's records, its own first.
-    broadcasts : tuple[Broadcast, ...]
-        Facts that hold now.
-    """
-
-    sender: str
-    stamp: Stamp
-    records: tuple[MemberRecord, ...]
-    broadcasts: tuple[Broadcast, ...] = ()
-
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Digest)
-
-
-class Gossip(asyncio.DatagramProtocol):
-    """Spreads what this node knows to a few others in each period.
+class Gossip:
+    """Keeps the table of members and the freshness stamp up to date.
 
     Parameters
     ----------
@@ -78,117 +70,203 @@
     ) -> None:
         """Keep the parts; `start` opens the port."""
         self._own = own
-        self._seeds = seeds
+        address = (own.host, own.gossip_port)
+        self._seeds = tuple((seed.host, seed.port) for seed in seeds)
         self._members = members
         self._configuration = configuration
         self._broadcasts = broadcasts
-        self._heard_at: dict[str, float] = {}
         self._random = random.Random(own.node)
-        self._transport: asyncio.DatagramTransport | None = None
+        news = NewsQueue(members, broadcasts)
+        self._tracker = MemberTracker(own.node, members, news)
+        self._endpoint = Endpoint(address, news, self._receive)
+        self._detector = Detector(
+            lambda: self._own,
+            members,
+            self._endpoint,
+            self._tracker.judge,
+            configuration,
+        )
+        self._sync = Synchronizer(lambda: self._own, members, self._endpoint)
+        self._rejoin_at = 0.0
         self._task: asyncio.Task[None] | None = None
-        members.merge(own)
+        self._tracker.take(own)
 
     @property
     def own(self) -> MemberRecord:
         """Record of this node."""
         return self._own
 
+    @property
+    def endpoint(self) -> Endpoint:
+        """The port, with its counts of bytes."""
+        return self._endpoint
+
     def update(self, record: MemberRecord) -> None:
         """Replace this node's record; its version is set here."""
-        self._own = replace(record, version=self._own.version + 1)
-        self._members.merge(self._own)
+        version = self._own.version + 1
+        self._own = replace(record, version=version, refutation=0)
+        self._tracker.take(self._own)
 
     async def start(self) -> None:
         """Open the port and start to spread."""
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self,
-            (self._own.host, self._own.gossip_port),
-        )
+        await self._endpoint.open()
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
-        """Spread the last record, then close the port."""
-        self._spread()
+        """Tell some members of the leave, then close the port."""
         if self._task is not None:
             self._task.cancel()
-        if self._transport is not None:
-            self._transport.close()
-
-    def datagram_received(
-        self, payload: bytes, sender: tuple[str, int]
-    ) -> None:
-        """Take a digest."""
-        try:
-            digest = _decoder.decode(payload)
-        except msgspec.DecodeError:
-            return
-        now = asyncio.get_running_loop().time()
-        self._heard_at[digest.sender] = now
-        self._configuration.confirm(digest.stamp)
-        for record in digest.records:
-            self._take(record)
-        for fact in digest.broadcasts:
-            self._broadcasts.publish(fact)
-
-    def _take(self, record: MemberRecord) -> None:
-        if record.node != self._own.node:
-            self._members.merge(record)
-        elif record.supersedes(self._own):
-            self._own = replace(
-                self._own,
-                version=record.version + 1,
-                liveness=Liveness.alive,
-            )
-            self._members.merge(self._own)
+        self._own = replace(
+            self._own,
+            version=self._own.version + 1,
+            liveness=Liveness.dead,
+        )
+        news = News(records=(self._own,))
+        farewell = Records(*sender_of(self._own), news)
+        for peer in self._detector.peers(LEAVE_FANOUT):
+            self._endpoint.send(farewell, (peer.host, peer.gossip_port))
+        self._detector.stop()
+        self._endpoint.close()
 
     async def _run(self) -> None:
         while True:
-            self._spread()
-            self._suspect_silent()
-            await asyncio.sleep(GOSSIP_PERIOD_S)
-
-    def _spread(self) -> None:
-        others = [
-            record
-            for record in self._members.records
-            if record.node != self._own.node
-        ]
-        chosen = self._random.sample(
-            others,
-            min(len(others), RECORDS_A_MESSAGE),
-        )
-        digest = Digest(
-            self._own.node,
+            now = asyncio.get_running_loop().time()
+            self._detector.probe_next()
+            self._rejoin(now)
+            if self._sync.is_due(now):
+                self._sync.compare(self._detector.peers(1))
+            self._tracker.expire(now)
+            await asyncio.sleep(PROBE_PERIOD_S)
+
+    def _rejoin(self, now: float) -> None:
+        """Probe a seed or a dead member, so that partitions heal."""
+        if now < self._rejoin_at:
+            return
+        alone = not self._detector.peers(1)
+        period_s = JOIN_PERIOD_S if alone else REJOIN_PERIOD_S
+        self._rejoin_at = now + period_s * self._random.uniform(0.5, 1.5)
+        lost = self._tracker.lost(self._seeds)
+        if lost:
+            self._detector.probe(self._random.choice(lost))
+
+    def _receive(self, datagram: Datagram, sender: HostPort) -> None:
+        if datagram.sender == self._own.node:
+            self._report_namesake(datagram)
+            return
+        self._meet(datagram, sender)
+        match datagram:
+            case Ping():
+                self._take_news(datagram.news, sender)
+                self._answer(datagram, sender)
+            case Ack():
+                self._take_news(datagram.news, sender)
+                self._detector.reply(datagram)
+            case IndirectAck():
+                self._detector.reply(datagram)
+            case PingRequest():
+                self._detector.help(datagram, sender)
+            case Summary():
+                self._sync.answer_summary(datagram, sender)
+            case Contents():
+                self._hasten(datagram.sender)
+                for verdict in self._sync.answer_contents(datagram, sender):
+                    self._hear(verdict, sender)
+            case Want():
+                self._sync.answer_want(datagram.nodes, sender)
+            case Records():
+                self._take_news(datagram.news, sender)
+
+    def _answer(self, ping: Ping, sender: HostPort) -> None:
+        ack = Ack(
+            *sender_of(self._own),
+            ping.serial,
             self._configuration.stamp,
-            (self._own, *chosen),
-            self._broadcasts.current,
-        )
-        payload = _encoder.encode(digest)
-        for address in self._receivers(others):
-            self._send(payload, address)
-
-    def _receivers(self, others: list[MemberRecord]) -> list[tuple[str, int]]:
-        known = [(found.host, found.gossip_port) for found in others]
-        seeds = [(seed.host, seed.port) for seed in self._seeds]
-        return list(
-            itertools.chain(
-                self._random.sample(known, min(len(known), FANOUT)),
-                self._random.sample(seeds, min(len(seeds), 1)),
-            ),
+            self._endpoint.news(),
         )
+        self._endpoint.send(ack, sender)
+
+    def _meet(self, datagram: Datagram, sender: HostPort) -> None:
+        """Ask an unknown sender for its record; tell one held for lost."""
+        claim = datagram.claim
+        known = self._members.verdict(claim.node)
+        if known is not None and known.rank >= claim.rank:
+            if known.liveness is not Liveness.alive:
+                self._tell(known, sender)
+            return
+        if known is None or known.content < claim.content:
+            self._sync.ask_for(claim.node, sender)
+        else:
+            self._tracker.judge(claim)
+        if known is None or known.liveness is Liveness.dead:
+            self._hasten(claim.node)
+
+    def _hasten(self, node: str) -> None:
+        self._sync.hasten(asyncio.get_running_loop().time(), node)
+
+    def _tell(self, verdict: Verdict, sender: HostPort) -> None:
+        """Tell of a verdict; removed members count as dead."""
+        if self._members.get(verdict.node) is None:
+            verdict = replace(verdict, liveness=Liveness.dead)
+        self._sync.tell(verdict, sender)
+
+    def _take_news(self, news: News, sender: HostPort) -> None:
+        for record in news.records:
+            if record.node == self._own.node:
+                self._hear(record.verdict, sender)
+            elif not self._tracker.take(record):
+                self._correct(record, sender)
+        for verdict in news.verdicts:
+            self._hear(verdict, sender)
+        for fact in news.broadcasts:
+            self._broadcasts.receive(fact)
+
+    def _correct(self, record: MemberRecord, sender: HostPort) -> None:
+        """Answer a record of a member that was removed here."""
+        known = self._members.verdict(record.node)
+        if known is not None and self._members.get(record.node) is None:
+            self._tell(known, sender)
+
+    def _hear(self, verdict: Verdict, sender: HostPort) -> None:
+        """Take another node's verdict.
+
+        That a member is dead is not taken from others: the two may have been
+        apart. The member is told, so that it refutes, and probed.
+        """
+        if verdict.node == self._own.node:
+            self._refute(verdict)
+            if verdict.liveness is not Liveness.alive:
+                self._sync.present(sender)
+        elif verdict.liveness is Liveness.dead:
+            self._doubt(verdict)
+        else:
+            self._tracker.judge(verdict)
+
+    def _doubt(self, verdict: Verdict) -> None:
+        record = self._members.get(verdict.node)
+        if record is None or record.liveness is not Liveness.alive:
+            return
+        if verdict.rank > record.rank and self._endpoint.has_room():
+            self._sync.tell(verdict, (record.host, record.gossip_port))
+            self._detector.check(record)
+
+    def _refute(self, verdict: Verdict) -> None:
+        """Supersede a verdict on this node.
+
+        A verdict on a version that this process never had stems from an
+        earlier process whose clock was ahead: then the incarnation grows.
+        """
+        own = self._own
+        if verdict.rank <= own.rank or own.liveness is Liveness.dead:
+            return
+        if verdict.content == own.verdict.content:
+            refutation = verdict.refutation + 1
+            self._own = replace(own, refutation=refutation)
+        else:
+            log.warning("A later start of '{}' is known.", own.node)
+            incarnation = verdict.incarnation + 1
+            self._own = replace(own, incarnation=incarnation)
+        self._tracker.take(self._own)
 
-    def _send(self, payload: bytes, address: tuple[str, int]) -> None:
-        if self._transport is not None:
-            self._transport.sendto(payload, address)
-
-    def _suspect_silent(self) -> None:
-        """Declare nodes dead that were not heard of for long."""
-        now = asyncio.get_running_loop().time()
-        for record in tuple(self._members.records):
-            heard_at = self._heard_at.setdefault(record.node, now)
-            silent = now - heard_at > SILENCE_S
-            own = record.node == self._own.node
-            if silent and not own and record.liveness is Liveness.alive:
-                log.info("Node '{}' is silent.", record.node)
-                self._members.merge(replace(record, liveness=Liveness.dead))
+    def _report_namesake(self, datagram: Datagram) -> None:
+        if datagram.incarnation != self._own.incarnation:
+            log.error("Another process uses the name '{}'.", self._own.node)
--- a/lycheespar/membership/records.py
+++ b/lycheespar/membership/records.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+Rank = tuple[int, int, int, int]
+
 
 class Phase(enum.IntEnum):
     """Phase of a target's life, as announced."""
@@ -25,6 +27,43 @@
     dead = 2
 
 
+class Verdict(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Liveness of a member at one version of its record.
+
+    Attributes
+    ----------
+    node : str
+        Identity of the member.
+    incarnation, version : int
+        Record that was judged.
+    refutation : int
+        Number of the refutation that was judged.
+    liveness : Liveness
+        What is held of the member.
+    """
+
+    node: str
+    incarnation: int
+    version: int
+    refutation: int
+    liveness: Liveness
+
+    @property
+    def rank(self) -> Rank:
+        """Order of verdicts on one member; the greatest holds."""
+        return (
+            self.incarnation,
+            self.version,
+            self.refutation,
+            self.liveness,
+        )
+
+    @property
+    def content(self) -> tuple[int, int]:
+        """Incarnation and version."""
+        return (self.incarnation, self.version)
+
+
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One node and its target.
 
@@ -52,6 +91,8 @@
         Requests that the target bears at once.
     liveness : Liveness
         Verdict of the failure detector.
+    refutation : int
+        Grows each time that the node refutes a verdict on this version.
     """
 
     node: str
@@ -66,6 +107,7 @@
     phase: Phase = Phase.absent
     slots: int = 0
     liveness: Liveness = Liveness.alive
+    refutation: int = 0
 
     @property
     def takes_work(self) -> bool:
@@ -77,7 +119,20 @@
         """Whether this record is newer than a known one."""
         if known is None:
             return True
-        return self._rank() > known._rank()  # noqa: SLF001
+        return self.rank > known.rank
 
-    def _rank(self) -> tuple[int, int, int]:
-        return (self.incarnation, self.version, self.liveness)
+    @property
+    def rank(self) -> Rank:
+        """Order of the records of one member; the greatest holds."""
+        return self.verdict.rank
+
+    @property
+    def verdict(self) -> Verdict:
+        """The record without its content."""
+        return Verdict(
+            self.node,
+            self.incarnation,
+            self.version,
+            self.refutation,
+            self.liveness,
+        )
--- /dev/null
+++ b/lycheespar/tests/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the configuration and its freshness."""
--- /dev/null
+++ b/lycheespar/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of gossip and failure detection."""
--- /dev/null
+++ b/lycheespar/tests/membership/members.py
@@ -0,0 +1,106 @@
+"""Nodes with real gossip over a virtual network."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+from lycheespar.config.options import Address
+from lycheespar.configuration.model import Configuration
+from lycheespar.configuration.stamp import Stamp
+from lycheespar.configuration.view import ConfigurationView
+from lycheespar.membership.broadcast import BroadcastTable
+from lycheespar.membership.gossip import Gossip
+from lycheespar.membership.records import Liveness, MemberRecord, Phase
+from lycheespar.membership.view import MembershipView
+
+PORT = 7000
+SEEDS = 3
+
+
+class Member:
+    """One node."""
+
+    def __init__(self, index: int, incarnation: int = 1) -> None:
+        loop = asyncio.get_running_loop()
+        self.name = f'node-{index:04}'
+        self.host = f'127.1.{index // 250}.{index % 250 + 1}'
+        self.view = MembershipView()
+        self.configuration = ConfigurationView(Configuration(), loop.time)
+        self.facts = BroadcastTable(loop.time)
+        record = MemberRecord(
+            self.name,
+            incarnation,
+            0,
+            self.host,
+            7001,
+            PORT,
+            f'dc-{index % 6}',
+            f'team-{index % 41}/certificates',
+            f'{self.name}-target',
+            Phase.ready,
+            12,
+        )
+        self.gossip = Gossip(
+            record,
+            tuple(
+                Address(f'127.1.0.{seed + 1}', PORT) for seed in range(SEEDS)
+            ),
+            self.view,
+            self.configuration,
+            self.facts,
+        )
+
+    def alive(self) -> set[str]:
+        """Return the names of the nodes held to be alive."""
+        return {
+            record.node
+            for record in self.view.records
+            if record.liveness is Liveness.alive
+        }
+
+    def crash(self) -> None:
+        """End without a word."""
+        self.gossip._task.cancel()
+        self.gossip._detector.stop()
+        self.gossip.endpoint.close()
+
+    def fill(self, others: Iterable[Member]) -> None:
+        """Know others from the start."""
+        for other in others:
+            self.view.merge(other.gossip.own)
+
+
+async def start(count: int, *, filled: bool = False) -> list[Member]:
+    """Start nodes; filled ones know each other from the start."""
+    members = [Member(index) for index in range(count)]
+    if filled:
+        for member in members:
+            member.fill(members)
+    for member in members:
+        await member.gossip.start()
+    return members
+
+
+class Issuer:
+    """Issues stamps, and remembers when."""
+
+    def __init__(self, every_s: float = 0.25) -> None:
+        self.every_s = every_s
+        self.issued_at: dict[int, float] = {}
+        self.revision = 0
+
+    async def run(self, fed: list[Member]) -> None:
+        """Issue stamps for ever, to some nodes directly."""
+        loop = asyncio.get_running_loop()
+        for number in range(1, 1_000_000):
+            self.issued_at[number] = loop.time()
+            for member in fed:
+                member.configuration.confirm(Stamp(1, self.revision, number))
+            await asyncio.sleep(self.every_s)
+
+    def true_age(self, member: Member) -> float:
+        """Return the age that the stamp of a node has."""
+        now = asyncio.get_running_loop().time()
+        number = member.configuration.stamp.round
+        return now - self.issued_at.get(number, float('-inf'))
