--- a/lycheespar/configuration/stamp.py
+++ b/lycheespar/configuration/stamp.py
@@ -34,8 +34,9 @@
 
     @property
     def is_valid(self) -> bool:
-        """Whether the age can be an age."""
-        return math.isfinite(self.age_ms) and self.age_ms >= 0
+        """Whether a leader issued the stamp, and the age can be an age."""
+        has_age = math.isfinite(self.age_ms) and self.age_ms >= 0
+        return has_age and self.round > 0
 
     @property
     def order(self) -> tuple[int, int]:
--- a/lycheespar/configuration/view.py
+++ b/lycheespar/configuration/view.py
@@ -164,7 +164,8 @@
         is_older = issued_at <= self._held_since
         if is_older and stamp.revision >= self._stamp.revision:
             return False
-        if self._reported != stamp.revision:
+        is_new = stamp.order > self._stamp.order
+        if is_new and self._reported != stamp.revision:
             self._reported = stamp.revision
             log.error(
                 'The control hosts have gone back to revision {}; {} is kept.',
--- a/lycheespar/tests/configuration/view_tests.py
+++ b/lycheespar/tests/configuration/view_tests.py
@@ -46,6 +46,12 @@
     assert view.stamp.age_ms == pytest.approx(1250)
 
 
+def test_the_empty_stamp_confirms_nothing(clock):
+    view = ConfigurationView(Configuration(), clock)
+    assert not view.confirm(Stamp())
+    assert view.age_s == math.inf
+
+
 @pytest.mark.parametrize('age_ms', [math.inf, math.nan, -1, -math.inf])
 def test_a_stamp_without_an_age_is_not_taken(view, age_ms):
     assert not view.confirm(Stamp(9, 5, 9, age_ms))
@@ -113,6 +119,14 @@
     assert view.age_s == pytest.approx(0.2)
 
 
+def test_a_round_whose_revision_grew_is_no_way_back(view, clock):
+    view.confirm(Stamp(3, 6, 1, 500))
+    view.confirm(Stamp(3, 5, 1, 200))
+    assert view.is_behind
+    view.replace(Configuration(6))
+    assert view.age_s == pytest.approx(0.5)
+
+
 _STEPS = some.lists(
     some.one_of(
         some.tuples(some.just('pass'), some.floats(0.01, 2)),
