--- /dev/null
+++ b/lycheespar/telemetry/parts.py
@@ -0,0 +1,104 @@
+"""Puts metrics and traces around the parts of a node, where they are on.
+
+What is off costs nothing: parts are handed back as they are, and libraries are
+imported only where the settings ask for them.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from lycheespar.call import Dispatch, Execution
+from lycheespar.config.settings import NodeSettings
+
+if TYPE_CHECKING:
+    from lycheespar.telemetry.metrics import Gauges, Metrics
+    from lycheespar.telemetry.traces import Tracer
+
+
+class Telemetry:
+    """Metrics and traces of one node.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Say what is on.
+    """
+
+    __slots__ = ('_metrics', '_tracer')
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Build what is on."""
+        self._metrics = _metrics(settings)
+        self._tracer = _tracer(settings)
+
+    def around_dispatch(self, dispatch: Dispatch) -> Dispatch:
+        """Count the calls of this node's callers, and begin their traces."""
+        if self._metrics is not None:
+            from lycheespar.telemetry.observed import (  # noqa: PLC0415
+                ObservedDispatch,
+            )
+
+            dispatch = ObservedDispatch(dispatch, self._metrics)
+        if self._tracer is not None:
+            from lycheespar.telemetry.traces import (  # noqa: PLC0415
+                TracedDispatch,
+            )
+
+            dispatch = TracedDispatch(dispatch, self._tracer)
+        return dispatch
+
+    def around_execution(self, execution: Execution) -> Execution:
+        """Count the calls that reach the own target, and trace them."""
+        if self._metrics is not None:
+            from lycheespar.telemetry.observed import (  # noqa: PLC0415
+                ObservedExecution,
+            )
+
+            execution = ObservedExecution(execution, self._metrics)
+        return self.traced('admission', execution)
+
+    def traced(self, hop: str, execution: Execution) -> Execution:
+        """Give one hop of traced calls a span."""
+        if self._tracer is None:
+            return execution
+        from lycheespar.telemetry.traces import (  # noqa: PLC0415
+            TracedExecution,
+        )
+
+        return TracedExecution(hop, execution, self._tracer)
+
+    def add_gauges(self, source: Gauges) -> None:
+        """Read gauges from a source before each batch."""
+        if self._metrics is not None:
+            self._metrics.add_gauges(source)
+
+    def start(self) -> None:
+        """Begin to send metrics."""
+        if self._metrics is not None:
+            self._metrics.start()
+
+    def stop(self) -> None:
+        """Send the last metrics and write the last spans."""
+        if self._metrics is not None:
+            self._metrics.stop()
+        if self._tracer is not None:
+            self._tracer.stop()
+
+
+def _metrics(settings: NodeSettings) -> Metrics | None:
+    if settings.statsd is None:
+        return None
+    from lycheespar.telemetry.metrics import Metrics  # noqa: PLC0415
+
+    return Metrics(settings.statsd, settings.name)
+
+
+def _tracer(settings: NodeSettings) -> Tracer | None:
+    if settings.trace_file is None:
+        return None
+    from lycheespar.telemetry.traces import Tracer  # noqa: PLC0415
+
+    path = Path(settings.trace_file)
+    return Tracer(settings.name, settings.trace_share, path)
