Admission: adaptive limit, deadline-aware queue, cold start

Cause: the gate let the announced slots run at once from the first second, read the queue limit only on an announcement, kept calls waiting whose deadline could not be met, kept the connections of an earlier incarnation, and lost a place for good when nobody read a streamed body. The HTTP library sent PUT and DELETE again by itself when a connection broke.

Ruled out: a linear ramp over cold_start_s.

Change: gate split into queue (weight, deadline, arrival), limiter (latency against its long-term mean by class, failures against their usual share, cold start) and gate (places, deadlines, pushing out the lightest call). Signs of a restart: new incarnation, target or address, phase cold, lease lapsed, connection refused or broken, sudden series of failures. Load carries failure_share. Shed answers (503) are retried elsewhere if idempotent.

--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -3,23 +3,36 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from typing import Final
 
 from loguru import logger
 
-from lycheespar.admission.gate import Gate
+from lycheespar.admission.gate import MS_PER_S, Gate
+from lycheespar.admission.limiter import GateLimits, Limiter
 from lycheespar.call import Answer, Call, Load
+from lycheespar.configuration.model import Configuration, Parameters
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import (
+    DeadlineExceededError,
     DrainingError,
     OutOfServiceError,
-    RefusedError,
     StaleConfigurationError,
     TargetGoneError,
+    TargetLostError,
+    TruncatedAnswerError,
 )
 from lycheespar.membership.records import Phase
 from lycheespar.targets.announcement import Announcement, LocalTarget
+from lycheespar.targets.body import ResponseBody
 from lycheespar.targets.client import TargetClient
+from lycheespar.targets.shedding import refusal_of
+
+# Time after the start of a drain in which calls are still taken whose body
+# streams: other nodes that do not know of the drain can't send them again.
+STREAM_GRACE_S: Final = 1
+# Least time between two replacements of the connections to the target.
+RECONNECT_S: Final = 1
+FIRST_FAILURE_STATUS: Final = 500
 
 log = logger.bind(part='admission')
 
@@ -41,11 +54,15 @@
     """
 
     __slots__ = (
+        '_announced',
         '_client',
         '_closing',
         '_configuration',
         '_data_centre',
+        '_drained_at',
         '_gate',
+        '_limiter',
+        '_reconnected_at',
         '_stale_after_s',
         '_target',
     )
@@ -57,15 +74,20 @@
         data_centre: str,
         stale_after_s: float,
     ) -> None:
-        """Follow the target's announcements."""
+        """Follow the target's announcements and the configuration."""
         self._target = target
         self._configuration = configuration
         self._data_centre = data_centre
         self._stale_after_s = stale_after_s
-        self._gate = Gate(1, 0)
+        self._limiter = Limiter()
+        self._gate = Gate(self._limiter)
         self._client: TargetClient | None = None
+        self._announced: Announcement | None = None
+        self._drained_at = float('inf')
+        self._reconnected_at = float('-inf')
         self._closing: set[asyncio.Task[None]] = set()
         target.changes.subscribe(self._follow)
+        configuration.changes.subscribe(self._reconfigure)
 
     @property
     def load(self) -> Load:
@@ -89,16 +111,16 @@
         """
         self._check(call)
         await self._gate.enter(call)
-        started_at = asyncio.get_running_loop().time()
+        entered_at = _now()
         try:
             answer = await self._send(call)
         except BaseException:
-            self._leave(started_at)
+            self._leave(entered_at)
             raise
-        if isinstance(answer.body, bytes):
-            self._leave(started_at)
+        if isinstance(answer.body, ResponseBody):
+            answer.body.on_end(lambda: self._leave(entered_at))
         else:
-            answer.body = self._hold(answer.body, started_at)
+            self._leave(entered_at)
         return answer
 
     async def close(self) -> None:
@@ -106,59 +128,162 @@
         if self._client is not None:
             await self._client.close()
 
+    def restarted(self) -> None:
+        """Begin a cold start, as the target shows signs of a restart."""
+        now = _now()
+        if not self._limiter.is_cold(now):
+            log.info('The target may have restarted: cold start.')
+        self._limiter.restart(now)
+
     def _check(self, call: Call) -> None:
         """Refuse work that this node must not take."""
         current = self._target.current
         if current is None or current.service_name != call.service:
             raise TargetGoneError
         if current.state in {Phase.draining, Phase.left}:
-            raise DrainingError
+            self._check_draining(call)
         if self._configuration.is_out(self._data_centre, current.target):
             raise OutOfServiceError
         if self._configuration.age_s > self._stale_after_s:
             raise StaleConfigurationError
 
+    def _check_draining(self, call: Call) -> None:
+        draining_s = _now() - self._drained_at
+        if isinstance(call.body, bytes) or draining_s > STREAM_GRACE_S:
+            raise DrainingError
+
     async def _send(self, call: Call) -> Answer:
         """Send an admitted call, unless things changed while it waited."""
         self._check(call)
-        if self._client is None:
+        client = self._client
+        if client is None:
             raise TargetGoneError
-        return await self._client.send(call, self.load)
-
-    async def _hold(
-        self,
-        body: AsyncIterator[bytes],
-        started_at: float,
-    ) -> AsyncIterator[bytes]:
-        """Keep the place of a call until its body is through."""
+        sent_at = _now()
         try:
-            async for chunk in body:
-                yield chunk
-        finally:
-            self._leave(started_at)
+            answer = await client.send(call, self.load)
+        except (TargetGoneError, TargetLostError):
+            self._limiter.failed(_now(), self._gate.running)
+            self.restarted()
+            raise
+        except TruncatedAnswerError:
+            self._limiter.failed(_now(), self._gate.running)
+            raise
+        except DeadlineExceededError:
+            self._time_out(call, _now() - sent_at)
+            raise
+        self._judge(call, answer, _now() - sent_at)
+        return answer
+
+    def _time_out(self, call: Call, waited_s: float) -> None:
+        """Learn from a call without an answer.
+
+        The connections are replaced, as they may have gone silent.
+        """
+        slow = self._limiter.timed_out(
+            call.request_class,
+            waited_s,
+            _now(),
+            self._gate.running,
+        )
+        if slow:
+            self._reconnect()
+
+    def _judge(self, call: Call, answer: Answer, latency_s: float) -> None:
+        """Learn from an answer; turn a target's refusal into ours."""
+        refusal = refusal_of(call, answer)
+        if refusal is not None:
+            if isinstance(answer.body, ResponseBody):
+                answer.body.close()
+            self._limiter.shed()
+            self._limiter.failed(_now(), self._gate.running)
+            raise refusal
+        if answer.status >= FIRST_FAILURE_STATUS:
+            self._limiter.failed(_now(), self._gate.running)
+        else:
+            self._limiter.succeeded(
+                call.request_class,
+                latency_s,
+                _now(),
+                self._gate.running,
+            )
+        answer.load = self.load
 
-    def _leave(self, started_at: float) -> None:
-        now = asyncio.get_running_loop().time()
-        self._gate.leave(now - started_at)
+    def _leave(self, entered_at: float) -> None:
+        now = _now()
+        self._gate.leave(now - entered_at)
 
     def _follow(self, announcement: Announcement | None) -> None:
+        known = self._announced
+        self._announced = announcement
         if announcement is None:
             self._replace_client(None)
-            self._gate.refuse_waiting(RefusedError('the target is gone'))
+            self._gate.refuse_waiting(TargetGoneError)
             return
         log.info("Target '{}' is {}.", announcement.target, announcement.phase)
-        if self._client is None:
+        if known is None or _identity(known) != _identity(announcement):
             self._replace_client(TargetClient(announcement))
-        service = self._configuration.services.get(announcement.service_name)
-        queue_limit = (
-            32 if service is None else (service.parameters.queue_limit)
-        )
-        self._gate.configure(announcement.slots, queue_limit)
+            self._limiter.restart(_now())
+        elif announcement.state is Phase.cold and known.state is not Phase.cold:
+            self._limiter.restart(_now())
+        self._limiter.hold_cold(held=announcement.state is Phase.cold)
+        self._follow_drain(announcement)
+        self._reconfigure(self._configuration.current)
+
+    def _follow_drain(self, announcement: Announcement) -> None:
+        if announcement.state not in {Phase.draining, Phase.left}:
+            self._drained_at = float('inf')
+            return
+        now = _now()
+        self._drained_at = min(self._drained_at, now)
+        self._gate.refuse_waiting(DrainingError)
+
+    def _reconfigure(self, _: Configuration) -> None:
+        """Follow the parameters of the service and what is taken out."""
+        announced = self._announced
+        if announced is None:
+            return
+        service = self._configuration.services.get(announced.service_name)
+        parameters = Parameters() if service is None else service.parameters
+        self._gate.configure(_limits(announced, parameters))
+        if self._configuration.is_out(self._data_centre, announced.target):
+            self._gate.refuse_waiting(OutOfServiceError)
+
+    def _reconnect(self) -> None:
+        """Open new connections; the old ones serve their calls to the end."""
+        now = _now()
+        announced = self._announced
+        if announced is None or now - self._reconnected_at < RECONNECT_S:
+            return
+        self._reconnected_at = now
+        self._replace_client(TargetClient(announced))
 
     def _replace_client(self, client: TargetClient | None) -> None:
         old = self._client
         self._client = client
         if old is not None:
-            task = asyncio.create_task(old.close())
+            task = asyncio.create_task(old.retire())
             self._closing.add(task)
             task.add_done_callback(self._closing.discard)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _identity(announcement: Announcement) -> tuple[str, str, str]:
+    """Return what differs between two starts of a target."""
+    return (
+        announcement.target,
+        announcement.incarnation,
+        announcement.address,
+    )
+
+
+def _limits(announced: Announcement, parameters: Parameters) -> GateLimits:
+    return GateLimits(
+        slots=announced.slots,
+        queue_limit=parameters.queue_limit,
+        queue_s=parameters.queue_ms / MS_PER_S,
+        cold_start_s=parameters.cold_start_s,
+        cold_share=parameters.cold_share,
+    )
--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -1,68 +1,53 @@
-"""Admission to the local target: a concurrency limit and a short queue."""
+"""Admission to the local target: limits, cold start and a short queue."""
 
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
 from typing import Final
 
+from lycheespar.admission.latency import LatencyEstimate
+from lycheespar.admission.limiter import GateLimits, Limiter
+from lycheespar.admission.queue import Waiting, WaitingQueue
 from lycheespar.call import Call, Load
 from lycheespar.errors import (
+    ColdTargetError,
     DeadlineUnreachableError,
     OverloadedError,
     RefusedError,
 )
 
-_LATENCY_WEIGHT: Final = 0.1
 MS_PER_S: Final = 1000
 SHORTEST_RETRY_S: Final = 0.05
 
 
-class _Waiting:
-    """A call in the queue."""
-
-    __slots__ = ('call', 'order', 'turn')
-
-    def __init__(self, call: Call, order: tuple[float, int]) -> None:
-        self.call = call
-        self.order = order
-        self.turn: asyncio.Future[None] = (
-            asyncio.get_running_loop().create_future()
-        )
-
-    def __lt__(self, other: _Waiting) -> bool:
-        return self.order < other.order
-
-
 class Gate:
-    """Lets as many calls run as the target bears.
+    """Lets as many calls run as the target bears; the rest wait shortly.
 
     Parameters
     ----------
-    limit : int
-        Calls that may run at once.
-    queue_limit : int
-        Calls that may wait.
+    limiter : Limiter
+        Says how many calls may run at once.
     """
 
-    __slots__ = (
-        '_latency_s',
-        '_limit',
-        '_queue',
-        '_queue_limit',
-        '_running',
-        '_serial',
-    )
-
-    def __init__(self, limit: int, queue_limit: int) -> None:
-        """Start empty."""
-        self._limit = limit
-        self._queue_limit = queue_limit
+    __slots__ = ('_hold', '_limiter', '_limits', '_queue', '_running')
+
+    def __init__(self, limiter: Limiter) -> None:
+        """Start empty, with one slot."""
         self._running = 0
-        self._queue: list[_Waiting] = []
-        self._serial = itertools.count()
-        self._latency_s = 0.0
+        self._queue = WaitingQueue()
+        self._hold = LatencyEstimate()
+        self._limiter = limiter
+        self._limits = GateLimits()
+
+    @property
+    def limit(self) -> int:
+        """Calls that may run at once now."""
+        return self._limiter.limit(_now())
+
+    @property
+    def running(self) -> int:
+        """Calls that run now."""
+        return self._running
 
     @property
     def load(self) -> Load:
@@ -70,8 +55,9 @@
         return Load(
             self._running,
             len(self._queue),
-            self._limit,
-            self._latency_s * MS_PER_S,
+            self.limit,
+            self._hold.mean_s * MS_PER_S,
+            self._limiter.failure_share,
         )
 
     @property
@@ -79,18 +65,17 @@
         """Whether nothing runs or waits."""
         return self._running == 0 and not self._queue
 
-    def configure(self, limit: int, queue_limit: int) -> None:
-        """Change the limits; calls that run are not touched."""
-        self._limit = limit
-        self._queue_limit = queue_limit
-        self._admit_waiting()
+    def configure(self, limits: GateLimits) -> None:
+        """Change the bounds; calls that run or wait are not touched."""
+        self._limits = limits
+        self._limiter.configure(limits)
+        if self._queue:
+            self._admit_waiting()
 
-    def refuse_waiting(self, error: RefusedError) -> None:
+    def refuse_waiting(self, error_type: type[RefusedError]) -> None:
         """Refuse all calls that wait."""
-        for waiting in self._queue:
-            if not waiting.turn.done():
-                waiting.turn.set_exception(error)
-        self._queue.clear()
+        for waiting in self._queue.clear():
+            waiting.refuse(error_type())
 
     async def enter(self, call: Call) -> None:
         """Wait for a place; `leave` gives it back.
@@ -98,53 +83,106 @@
         Raises
         ------
         OverloadedError
-            The queue is full.
+            The queue is full, or the wait is longer than it may be.
+        ColdTargetError
+            The same, while the target is in cold start.
         DeadlineUnreachableError
-            The deadline passed in the queue.
+            The deadline can't be met.
         """
-        if self._running < self._limit and not self._queue:
+        now = _now()
+        if self._running < self.limit and not self._queue:
+            self._check_deadline(call, now, 0)
             self._running += 1
             return
-        if len(self._queue) >= self._queue_limit:
-            raise OverloadedError(retry_after_s=self._retry_after_s())
-        waiting = _Waiting(call, (-call.weight, next(self._serial)))
-        heapq.heappush(self._queue, waiting)
-        await self._wait(waiting)
-
-    def leave(self, latency_s: float) -> None:
-        """Give a place back after a call of the given latency."""
+        wait_s = self._expected_wait_s(self._queue.ahead_of(call) + 1, now)
+        self._check_deadline(call, now, wait_s)
+        if wait_s > self._limits.queue_s:
+            raise self._overloaded()
+        self._make_room(call)
+        await self._wait(self._queue.push(call), now)
+
+    def leave(self, held_s: float) -> None:
+        """Give a place back that a call held for so many seconds."""
         self._running -= 1
-        self._latency_s += _LATENCY_WEIGHT * (latency_s - self._latency_s)
+        self._hold.add(held_s, _now())
         self._admit_waiting()
 
-    async def _wait(self, waiting: _Waiting) -> None:
+    def _check_deadline(self, call: Call, now: float, wait_s: float) -> None:
+        """Refuse a call that could end only after its deadline."""
+        least_s = self._limiter.least_s(call.request_class, now)
+        if now + wait_s + least_s > call.deadline:
+            raise DeadlineUnreachableError(retry_after_s=self._retry_after_s())
+
+    def _make_room(self, call: Call) -> None:
+        """Push the lightest call out of a full queue, or refuse this one."""
+        if len(self._queue) < self._limits.queue_limit:
+            return
+        if not self._queue or self._queue.lightest.call.weight >= call.weight:
+            raise self._overloaded()
+        lightest = self._queue.lightest
+        self._queue.remove(lightest)
+        lightest.refuse(self._overloaded())
+
+    async def _wait(self, waiting: Waiting, now: float) -> None:
+        ends_at = min(waiting.call.deadline, now + self._limits.queue_s)
+        loop = asyncio.get_running_loop()
+        waiting.timer = loop.call_at(ends_at, self._expire, waiting)
         try:
-            async with asyncio.timeout_at(waiting.call.deadline):
-                await waiting.turn
-        except TimeoutError as error:
-            self._abandon(waiting)
-            raise DeadlineUnreachableError from error
+            await waiting.turn
         except asyncio.CancelledError:
             self._abandon(waiting)
             raise
 
-    def _abandon(self, waiting: _Waiting) -> None:
-        """Take a call out of the queue, or give its place back."""
-        if waiting in self._queue:
-            self._queue.remove(waiting)
-            heapq.heapify(self._queue)
-        elif waiting.turn.done() and not waiting.turn.cancelled():
+    def _expire(self, waiting: Waiting) -> None:
+        now = _now()
+        self._queue.remove(waiting)
+        late = now >= waiting.call.deadline
+        waiting.refuse(
+            DeadlineUnreachableError(retry_after_s=self._retry_after_s())
+            if late
+            else self._overloaded()
+        )
+
+    def _abandon(self, waiting: Waiting) -> None:
+        """Take a cancelled call out of the queue, or give its place back."""
+        turn = waiting.turn
+        waiting.refuse(DeadlineUnreachableError())
+        admitted = not turn.cancelled() and turn.exception() is None
+        if admitted:
             self._running -= 1
-            self._admit_waiting()
+        else:
+            self._queue.remove(waiting)
+        self._admit_waiting()
 
     def _admit_waiting(self) -> None:
-        while self._queue and self._running < self._limit:
-            waiting = heapq.heappop(self._queue)
-            if not waiting.turn.done():
+        now = _now()
+        while self._queue and self._running < self.limit:
+            waiting = self._queue.pop()
+            if waiting.turn.done():
+                continue
+            try:
+                self._check_deadline(waiting.call, now, 0)
+            except DeadlineUnreachableError as error:
+                waiting.refuse(error)
+            else:
                 self._running += 1
-                waiting.turn.set_result(None)
+                waiting.admit()
+
+    def _overloaded(self) -> RefusedError:
+        cold = self._limiter.is_cold(_now())
+        error_type = ColdTargetError if cold else OverloadedError
+        return error_type(retry_after_s=self._retry_after_s())
+
+    def _expected_wait_s(self, turns: int, now: float) -> float:
+        """Return the time in which so many places become free."""
+        return self._hold.expected_s(now) * turns / self.limit
 
     def _retry_after_s(self) -> float:
+        """Return the time in which what runs and waits is done."""
+        now = _now()
         backlog = len(self._queue) + self._running
-        expected_s = self._latency_s * backlog / max(self._limit, 1)
-        return max(SHORTEST_RETRY_S, expected_s)
+        return max(SHORTEST_RETRY_S, self._expected_wait_s(backlog, now))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -24,12 +24,15 @@
         Requests that may run at once now.
     latency_ms : float
         Smoothed latency of the target in milliseconds.
+    failure_share : float
+        Share of the target's last answers that were failures, 0 to 1.
     """
 
     running: int = 0
     queued: int = 0
     limit: int = 1
     latency_ms: float = 0
+    failure_share: float = 0
 
 
 class Call(msgspec.Struct, gc=False):
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -191,6 +191,7 @@
 
     code = 'deadline_unreachable'
     status = 504
+    retryable = True
 
 
 class CrashSuspectError(RefusedError):
@@ -252,6 +253,20 @@
     code = 'target_lost'
 
 
+class TargetShedError(OutcomeUnknownError):
+    """The target sheds load and does not say that the request did not run."""
+
+    code = 'target_shed'
+    status = 503
+
+
+class CallerLostError(OutcomeUnknownError):
+    """The caller cut the body of its request while it was being sent on."""
+
+    code = 'caller_lost'
+    status = 400
+
+
 class TruncatedAnswerError(OutcomeUnknownError):
     """The answer of the target ended before its declared length."""
 
--- a/lycheespar/ingress/classify.py
+++ b/lycheespar/ingress/classify.py
@@ -14,10 +14,9 @@
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import BadRequestError, UnknownServiceError
 from lycheespar.protocol.body import CHUNK_BYTES, INLINE_BYTES
-from lycheespar.targets.client import end_to_end
+from lycheespar.targets.headers import DEADLINE, end_to_end
 
 IDEMPOTENCY_KEY: Final = 'Idempotency-Key'
-DEADLINE: Final = 'X-Deadline-Ms'
 TRACEPARENT: Final = 'traceparent'
 MS_PER_S: Final = 1000
 # Methods that are idempotent by definition (RFC 9110, section 9.2.2) and safe.
--- a/lycheespar/targets/announcement.py
+++ b/lycheespar/targets/announcement.py
@@ -71,7 +71,7 @@
 class LocalTarget:
     """The target of this node, as far as its announcements hold."""
 
-    __slots__ = ('_expiry', '_subject')
+    __slots__ = ('_draining', '_expiry', '_subject')
 
     def __init__(self) -> None:
         """Start without a target."""
@@ -79,6 +79,7 @@
             None,
         )
         self._expiry: asyncio.TimerHandle | None = None
+        self._draining = False
 
     @property
     def current(self) -> Announcement | None:
@@ -91,7 +92,12 @@
         return self._subject
 
     def announce(self, announcement: Announcement) -> None:
-        """Take an announcement and renew the lease."""
+        """Take an announcement and renew the lease.
+
+        While the node drains, the target counts as draining at least.
+        """
+        if self._draining and announcement.state is not Phase.left:
+            announcement = replace(announcement, phase='draining')
         if self._expiry is not None:
             self._expiry.cancel()
         loop = asyncio.get_running_loop()
@@ -101,8 +107,9 @@
 
     def drain(self) -> None:
         """Mark the target as draining, for a stop of its node."""
+        self._draining = True
         current = self.current
-        if current is not None:
+        if current is not None and current.state is not Phase.left:
             self._subject.on_next(replace(current, phase='draining'))
 
     def _expire(self) -> None:
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -3,39 +3,43 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable
-from typing import Final
+import socket
+from typing import Any, Final
 
 import aiohttp
 from aiohttp import hdrs
 from yarl import URL
 
-from lycheespar.call import Answer, Body, Call, Headers, Load
+from lycheespar.call import Answer, Body, Call, Load
 from lycheespar.errors import (
+    CallerLostError,
     DeadlineExceededError,
     TargetGoneError,
     TargetLostError,
     TruncatedAnswerError,
 )
-from lycheespar.protocol.body import CHUNK_BYTES, INLINE_BYTES
+from lycheespar.protocol.body import INLINE_BYTES
 from lycheespar.targets.announcement import Announcement
+from lycheespar.targets.body import RequestBody, ResponseBody
+from lycheespar.targets.headers import end_to_end, with_deadline
 
 CONNECT_TIMEOUT_S: Final = 1
-
-# Headers that hold for one connection only (RFC 9110, section 7.6.1).
-HOP_HEADERS: Final = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
+# Shorter than the idle time after which common servers close connections, so
+# that a request rarely meets a connection that is being closed.
+IDLE_S: Final = 4
+# Time without a byte of a body after which its connection is given up.
+STALL_S: Final = 20
+UNACKNOWLEDGED_MS: Final = 1000
+MS_PER_S: Final = 1000
+_KEEPALIVE_OPTIONS: Final = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
 )
-
 _NOT_ADDED: Final = (hdrs.ACCEPT, hdrs.ACCEPT_ENCODING, hdrs.USER_AGENT)
+_EMPTY_STATUSES: Final = frozenset((204, 304))
 
 
 class TargetClient:
@@ -47,7 +51,7 @@
         Says where the target is and how many connections it bears.
     """
 
-    __slots__ = ('_base', '_session')
+    __slots__ = ('_base', '_retired', '_session', '_under_way')
 
     def __init__(self, announcement: Announcement) -> None:
         """Prepare a pool of connections; none is opened yet."""
@@ -56,15 +60,27 @@
             connector=aiohttp.TCPConnector(
                 limit=announcement.connections,
                 use_dns_cache=False,
+                keepalive_timeout=IDLE_S,
+                socket_factory=_open_socket,
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=_NOT_ADDED,
-            timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
         )
+        # The library would send a request again whose connection breaks, also
+        # if it may not be repeated.
+        self._session._retry_connection = False  # noqa: SLF001
+        self._under_way = 0
+        self._retired = asyncio.Event()
+
+    async def retire(self) -> None:
+        """Close all connections as soon as no call is under way."""
+        if self._under_way:
+            await self._retired.wait()
+        await self._session.close()
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Close all connections now."""
         await self._session.close()
 
     async def send(self, call: Call, load: Load) -> Answer:
@@ -83,22 +99,42 @@
             No connection could be opened, so nothing was sent.
         DeadlineExceededError
             The deadline passed.
+        CallerLostError
+            The caller cut the body of its request.
         TargetLostError
             The connection broke after the call may have been sent.
+        TruncatedAnswerError
+            The answer ended before its declared length.
         """
-        loop = asyncio.get_running_loop()
+        self._under_way += 1
+        try:
+            answer = await self._send(call, load)
+        except BaseException:
+            self._end()
+            raise
+        if isinstance(answer.body, ResponseBody):
+            answer.body.on_end(self._end)
+        else:
+            self._end()
+        return answer
+
+    async def _send(self, call: Call, load: Load) -> Answer:
+        streamed = (
+            None if isinstance(call.body, bytes) else RequestBody(call.body)
+        )
         try:
             async with asyncio.timeout_at(call.deadline):
-                response = await self._request(call)
-                body = await _read_small(response)
+                response = await self._request(call, streamed)
+                body = await _read_small(call, response)
         except TimeoutError as error:
-            detail = f'{loop.time() - call.deadline:.3f} s late'
-            raise DeadlineExceededError(detail) from error
+            raise DeadlineExceededError from error
         except aiohttp.ClientConnectorError as error:
             raise TargetGoneError(str(error)) from error
         except aiohttp.ClientPayloadError as error:
             raise TruncatedAnswerError(str(error)) from error
         except (aiohttp.ClientError, OSError) as error:
+            if streamed is not None and streamed.error is not None:
+                raise CallerLostError(str(streamed.error)) from error
             raise TargetLostError(str(error)) from error
         return Answer(
             response.status,
@@ -107,41 +143,45 @@
             load,
         )
 
-    async def _request(self, call: Call) -> aiohttp.ClientResponse:
+    async def _request(
+        self,
+        call: Call,
+        streamed: RequestBody | None,
+    ) -> aiohttp.ClientResponse:
+        left_s = call.deadline - asyncio.get_running_loop().time()
+        chunks = None if streamed is None else aiter(streamed)
         return await self._session.request(
             call.method,
             URL(self._base + call.path, encoded=True),
-            headers=call.headers,
-            data=call.body or None,
+            headers=with_deadline(call.headers, left_s * MS_PER_S),
+            data=call.body or None if chunks is None else chunks,
             allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(
+                sock_connect=CONNECT_TIMEOUT_S,
+                sock_read=max(STALL_S, left_s),
+            ),
         )
 
-
-def end_to_end(headers: Iterable[tuple[str, str]]) -> Headers:
-    """Drop the headers that hold for one connection only."""
-    return tuple(
-        (str(name), text)
-        for name, text in headers
-        if name.lower() not in HOP_HEADERS
-    )
+    def _end(self) -> None:
+        self._under_way -= 1
+        if not self._under_way:
+            self._retired.set()
+            self._retired.clear()
 
 
-async def _read_small(response: aiohttp.ClientResponse) -> Body:
+async def _read_small(call: Call, response: aiohttp.ClientResponse) -> Body:
     """Read a small body whole; return an iterator of a larger one."""
     length = response.content_length
-    if length is not None and length <= INLINE_BYTES:
+    empty = call.method == hdrs.METH_HEAD or response.status in _EMPTY_STATUSES
+    if empty or (length is not None and length <= INLINE_BYTES):
         return await response.read()
-    return _stream(response)
-
-
-async def _stream(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    whole = False
-    try:
-        async for chunk in response.content.iter_chunked(CHUNK_BYTES):
-            yield chunk
-        whole = True
-    except (aiohttp.ClientError, OSError) as error:
-        raise TruncatedAnswerError(str(error)) from error
-    finally:
-        if not whole:
-            response.close()
+    return ResponseBody(response)
+
+
+def _open_socket(info: Any) -> socket.socket:
+    """Open a socket that finds out when its peer is gone."""
+    sock = socket.socket(*info[:3])
+    for level, option, setting in _KEEPALIVE_OPTIONS:
+        sock.setsockopt(level, option, setting)
+    sock.setblocking(False)
+    return sock
--- /dev/null
+++ b/lycheespar/tests/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of announcements, connections to the target and probes."""
--- /dev/null
+++ b/lycheespar/tests/whole/cold_start_tests.py
@@ -0,0 +1,87 @@
+"""Cold start with several nodes that all send to one target."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import pytest
+
+from lycheespar.tests.whole.service import HOST, configure
+from standins.cluster import Cluster, answers, wait_until
+
+SENDERS_A_NODE = 25
+COLD = {'slots': 12, 'cold_slots': 2, 'service_ms': 5, 'cold_s': 2}
+
+
+@pytest.fixture
+def cluster(tmp_path: Path):
+    """Run three nodes, one of which has a target."""
+    planned = Cluster(tmp_path)
+    nodes = [planned.add_node(f'node-{index}', 'ijmuiden') for index in '012']
+    planned.add_target(
+        nodes[0],
+        team='vlotwacht',
+        service='certificates',
+        **COLD,
+    )
+    for name in planned.control_peers:
+        planned.start_control(name)
+    for node in nodes:
+        planned.start_node(node)
+    yield planned
+    planned.stop()
+
+
+async def _stats(session: aiohttp.ClientSession, cluster: Cluster) -> Any:
+    plan = next(iter(cluster.targets.values()))
+    url = f'http://{plan.host}:{plan.port}/_stats'
+    try:
+        async with session.get(url) as response:
+            return await response.json()
+    except aiohttp.ClientError:
+        return None
+
+
+async def _send(
+    session: aiohttp.ClientSession,
+    url: str,
+    stopped: asyncio.Event,
+) -> None:
+    while not stopped.is_set():
+        headers = {'Host': HOST, 'X-Execution-Id': 'load'}
+        async with session.get(url, headers=headers) as response:
+            await response.read()
+        if response.status != 200:
+            await asyncio.sleep(0.02)
+
+
+async def test_a_started_target_bears_what_all_nodes_send(cluster):
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        await configure(session, cluster.api, cold_start_s=2.5)
+        for node in cluster.nodes.values():
+            url = f'{node.url}/a'
+            await wait_until(partial(answers, session, url, HOST, 503))
+        stopped = asyncio.Event()
+        senders = [
+            asyncio.create_task(_send(session, f'{node.url}/a', stopped))
+            for node in cluster.nodes.values()
+            for _ in range(SENDERS_A_NODE)
+        ]
+        cluster.start_target(next(iter(cluster.targets.values())))
+
+        async def warm() -> bool:
+            found = await _stats(session, cluster)
+            return found is not None and found['peak'] == COLD['slots']
+
+        await wait_until(warm, 30)
+        stopped.set()
+        await asyncio.gather(*senders)
+        found = await _stats(session, cluster)
+    assert found['executions']['load'] > 100
+    assert found['peak_cold'] <= COLD['cold_slots']
+    assert found['overruns'] == 0
--- /dev/null
+++ b/lycheespar/tests/whole/service.py
@@ -0,0 +1,26 @@
+"""A service for the tests of the whole path."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import aiohttp
+
+from standins.cluster import answers, change, wait_until
+
+HOST = 'certificates.vlotwacht'
+
+
+async def configure(
+    session: aiohttp.ClientSession,
+    api: str,
+    routes: tuple[dict[str, Any], ...] = ({'idempotent': True},),
+    **parameters: float,
+) -> None:
+    """Create the service with parameters that differ from the defaults."""
+    await wait_until(lambda: answers(session, f'{api}/v1/status', ''))
+    template = {'name': 'delivery', 'routes': routes}
+    await change(session, api, 'put_template', template=template)
+    service = {'template': 'delivery', 'parameters': parameters}
+    team = {'name': 'vlotwacht', 'services': {'certificates': service}}
+    await change(session, api, 'put_team', team=team)
--- a/standins/target.py
+++ b/standins/target.py
@@ -78,6 +78,14 @@
         Whether requests are taken but never answered.
     truncating : bool
         Whether answers end before their declared length.
+    hiding : bool
+        Whether it announces that it is ready while it is cold.
+    shedding : bool
+        Whether each request is refused with status 503.
+    load_frozen : bool
+        Whether its load endpoint never answers.
+    load_lies : bool
+        Whether its load endpoint reports that it is full.
     """
 
     def __init__(self, plan: TargetPlan) -> None:
@@ -87,6 +95,11 @@
         self.failing = False
         self.frozen = False
         self.truncating = False
+        self.hiding = False
+        self.shedding = False
+        self.load_frozen = False
+        self.load_lies = False
+        self.cancelled = 0
         self.running = 0
         self.peak = 0
         self.peak_cold = 0
@@ -99,7 +112,11 @@
         self._incarnation = uuid.uuid4().hex
         self._cold_until = 0.0
         self._runner = web.ServerRunner(
-            web.Server(self._handle, access_log=None),
+            web.Server(
+                self._handle,
+                access_log=None,
+                handler_cancellation=True,
+            ),
         )
         self._task: asyncio.Task[None] | None = None
 
@@ -137,6 +154,7 @@
     def announcement(self) -> dict[str, Any]:
         """Return what the target says of itself."""
         plan = self.plan
+        shown_cold = self.cold and not self.hiding
         return {
             'target': plan.name,
             'team': plan.team,
@@ -144,7 +162,7 @@
             'address': self.address,
             'slots': plan.slots,
             'connections': plan.connections,
-            'phase': self.phase or ('cold' if self.cold else 'ready'),
+            'phase': self.phase or ('cold' if shown_cold else 'ready'),
             'incarnation': self._incarnation,
             'lease_s': plan.lease_s,
             'load_path': '/load',
@@ -168,6 +186,7 @@
             'peak_cold': self.peak_cold,
             'overruns': self.overruns,
             'probes': self.probes,
+            'cancelled': self.cancelled,
         }
 
     async def _announce(self) -> None:
@@ -179,9 +198,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         match request.path:
             case '/load':
-                self.probes += 1
-                load = {'running': self.running, 'slots': self.plan.slots}
-                return web.json_response(load)
+                return await self._report_load()
             case '/_stats':
                 return web.json_response(self.stats())
             case '/_set':
@@ -189,6 +206,14 @@
             case _:
                 return await self._work(request)
 
+    async def _report_load(self) -> web.Response:
+        self.probes += 1
+        while self.load_frozen:
+            await asyncio.sleep(0.05)
+        running = self.plan.slots if self.load_lies else self.running
+        load = {'running': running, 'slots': self.plan.slots}
+        return web.json_response(load)
+
     def _set(self, request: web.BaseRequest) -> web.Response:
         """Change the behaviour by query parameters."""
         for name, text in request.query.items():
@@ -212,6 +237,9 @@
             self.peak_cold = max(self.peak_cold, self.running)
         try:
             return await self._serve(request, execution, bears)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
         finally:
             self.running -= 1
 
@@ -223,6 +251,9 @@
     ) -> web.StreamResponse:
         if self.failing:
             return web.Response(status=500, text='fails fast')
+        if self.shedding:
+            headers = {'Retry-After': '7'}
+            return web.Response(status=503, text='sheds', headers=headers)
         if self.running > bears:
             self.overruns += 1
             return web.Response(status=500, text='overrun')
