--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import time
-from pathlib import Path
 from typing import Final
 
 import zmq.asyncio
@@ -80,7 +79,7 @@
             settings.data_centre,
             float('inf') if settings.serve_stale else settings.stale_after_s,
         )
-        self._pool = ChannelPool(hello)
+        self._pool = ChannelPool(hello, settings.inner.host)
         self._router = Router(
             settings.name,
             self._members,
@@ -163,9 +162,9 @@
 
         settings = self._settings
         context = zmq.asyncio.Context()
-        host = ControlHost(Path(settings.data_folder), context)
-        api = OperatorApi(host.store, host.progress)
-        await host.start(settings.peers[settings.name])
+        host = ControlHost(settings, context)
+        api = OperatorApi(host)
+        await host.start()
         await api.start(settings.http)
         log.info("Control host '{}' serves.", settings.name)
         await stopped.wait()
