--- a/Makefile
+++ b/Makefile
@@ -43,5 +43,6 @@
 docs: $(STAMP)
 	$(BIN)/mkdocs build --strict
 
-settings-page: $(STAMP)
+reference: $(STAMP)
 	$(BIN)/python -m tools.settings_page
+	$(BIN)/python -m tools.codes_page
--- a/lycheespar/tests/config/page_tests.py
+++ b/lycheespar/tests/config/page_tests.py
@@ -1,9 +1,14 @@
-"""The reference page of the settings follows the schema."""
+"""The reference pages follow the code."""
 
 from __future__ import annotations
 
-from tools.settings_page import PAGE, settings_page
+from tools import codes_page, settings_page
 
 
-def test_the_page_is_what_the_schema_says():
-    assert PAGE.read_text('utf-8') == settings_page()
+def test_the_page_of_the_settings_is_what_the_schema_says():
+    written = settings_page.PAGE.read_text('utf-8')
+    assert written == settings_page.settings_page()
+
+
+def test_the_page_of_the_codes_is_what_the_classes_say():
+    assert codes_page.PAGE.read_text('utf-8') == codes_page.codes_page()
