Channels: one run for each call id across silent and broken connections

Cause: a call whose channel broke ended as unknown, its execution was cancelled with the connection, a silent channel was never found, and a repeated Request frame started a second execution. aiohttp sent PUT, DELETE and GET again by itself on a broken pooled connection.

Ruled out: sending to another node (may run twice); ids kept for ever (memory); synchronised clocks (there are none); a fence by channel number (does not bound the age of a copy on the newest channel).

Change: executions belong to a table by call id, not to a channel; lost or silent channels are replaced and calls sent again with the same id to the same incarnation; cancellation leaves the id behind; copies older than 15 s start nothing, by an echo of the receiver's own clock; bodies carry offsets; socket keepalive and user timeout; a middleware stops aiohttp's own resend.

--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 
 from loguru import logger
 
 from lycheespar.admission.gate import Gate
-from lycheespar.call import Answer, Call, Load
+from lycheespar.call import Answer, Call, Load, close_body, primed
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import (
     DrainingError,
@@ -98,7 +98,7 @@
         if isinstance(answer.body, bytes):
             self._leave(started_at)
         else:
-            answer.body = self._hold(answer.body, started_at)
+            answer.body = await primed(self._hold(answer.body, started_at))
         return answer
 
     async def close(self) -> None:
@@ -123,19 +123,22 @@
         self._check(call)
         if self._client is None:
             raise TargetGoneError
+        call.started = True
         return await self._client.send(call, self.load)
 
     async def _hold(
         self,
         body: AsyncIterator[bytes],
         started_at: float,
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         """Keep the place of a call until its body is through."""
         try:
+            yield b''
             async for chunk in body:
                 yield chunk
         finally:
             self._leave(started_at)
+            await close_body(body)
 
     def _leave(self, started_at: float) -> None:
         now = asyncio.get_running_loop().time()
--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -12,6 +12,7 @@
 from loguru import logger
 from msgspec.structs import replace
 
+from lycheespar.admission.duplicates import DuplicateCheck
 from lycheespar.admission.executor import Executor
 from lycheespar.config.settings import ControlSettings, NodeSettings
 from lycheespar.configuration.model import Configuration
@@ -91,7 +92,7 @@
         )
         self._ingress = IngressServer(self._configuration, self._router)
         self._channels = ChannelServer(
-            self._executor,
+            DuplicateCheck(self._executor),
             lambda: self._executor.load,
             hello,
         )
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Protocol
 
 import msgspec
@@ -61,6 +61,8 @@
         Digest that is equal for requests that are alike.
     traceparent : str
         W3C trace context, empty for requests that are not traced.
+    started : bool
+        Whether the request may have been sent to a target; set just before.
     """
 
     call_id: bytes
@@ -76,6 +78,7 @@
     idempotency_key: str = ''
     fingerprint: bytes = b''
     traceparent: str = ''
+    started: bool = False
 
 
 class Answer(msgspec.Struct, gc=False):
@@ -126,3 +129,19 @@
         OutcomeUnknownError
             The call may have run.
         """
+
+
+async def close_body(body: Body) -> None:
+    """End a streamed body that nobody reads any more."""
+    if isinstance(body, AsyncGenerator):
+        await body.aclose()
+
+
+async def primed(body: AsyncGenerator[bytes, None]) -> Body:
+    """Run a body up to its first, empty chunk.
+
+    A generator that was never started would not release what it holds when
+    it is closed.
+    """
+    await anext(body)
+    return body
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -68,19 +68,42 @@
     code = 'frame_version'
 
 
+class BodySequenceError(ProtocolError):
+    """A part of a body is missing, repeated or exceeds the window."""
+
+    code = 'body_sequence'
+
+
 class ChannelError(LycheesparError):
     """A channel to another node can't be used."""
 
     code = 'channel'
 
 
-class ChannelClosedError(ChannelError):
+class ChannelLostError(ChannelError):
+    """The channel was lost while a call was under way.
+
+    Attributes
+    ----------
+    accepted : bool
+        Whether the other node had acknowledged the call.
+    """
+
+    code = 'channel_lost'
+
+    def __init__(self, detail: str = '', *, accepted: bool = False) -> None:
+        """Keep whether the call was acknowledged."""
+        super().__init__(detail)
+        self.accepted = accepted
+
+
+class ChannelClosedError(ChannelLostError):
     """The channel closed, by either side."""
 
     code = 'channel_closed'
 
 
-class ChannelSilentError(ChannelError):
+class ChannelSilentError(ChannelLostError):
     """The channel is open but its peer does not acknowledge."""
 
     code = 'channel_silent'
--- a/lycheespar/protocol/body.py
+++ b/lycheespar/protocol/body.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Final
 
-from lycheespar.errors import LycheesparError
+from lycheespar.errors import BodySequenceError, LycheesparError
 
 WINDOW_BYTES: Final = 256 * 1024
 CHUNK_BYTES: Final = 64 * 1024
@@ -23,29 +23,58 @@
         Called with the number of bytes that the consumer has taken.
     """
 
-    __slots__ = ('_chunks', '_ended', '_error', '_grant', '_ready')
+    __slots__ = (
+        '_allowed',
+        '_chunks',
+        '_ended',
+        '_error',
+        '_grant',
+        '_ready',
+        '_received',
+    )
 
     def __init__(self, grant: Callable[[int], None]) -> None:
         """Start with an empty body."""
         self._chunks: deque[bytes] = deque()
         self._grant = grant
+        self._received = 0
+        self._allowed = WINDOW_BYTES + CHUNK_BYTES
         self._ready = asyncio.Event()
         self._ended = False
         self._error: LycheesparError | None = None
 
-    def feed(self, chunk: bytes) -> None:
-        """Take one chunk from the channel."""
+    def feed(self, offset: int, chunk: bytes) -> None:
+        """Take one chunk from the channel.
+
+        Raises
+        ------
+        BodySequenceError
+            The chunk does not follow the last one, or exceeds the window.
+        """
+        end = self._received + len(chunk)
+        if offset != self._received or end > self._allowed:
+            raise BodySequenceError(f'{offset} after {self._received} bytes')
+        self._received = end
         self._chunks.append(chunk)
         self._ready.set()
 
-    def finish(self) -> None:
-        """Mark the body as whole."""
+    def finish(self, length: int) -> None:
+        """Mark the body as whole.
+
+        Raises
+        ------
+        BodySequenceError
+            The length differs from the bytes received.
+        """
+        if length != self._received:
+            raise BodySequenceError(f'{self._received} of {length} bytes')
         self._ended = True
         self._ready.set()
 
     def fail(self, error: LycheesparError) -> None:
         """End the body with an error, after the chunks that came."""
-        self._error = error
+        if not self._ended:
+            self._error = error
         self._ready.set()
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
@@ -59,6 +88,7 @@
         while True:
             while self._chunks:
                 chunk = self._chunks.popleft()
+                self._allowed += len(chunk)
                 self._grant(len(chunk))
                 yield chunk
             if self._error is not None:
--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -10,16 +10,18 @@
 from lycheespar.errors import (
     ChannelClosedError,
     ChannelConnectError,
+    ChannelLostError,
+    ChannelSilentError,
     DeadlineExceededError,
-    LycheesparError,
-    OutcomeUnknownError,
+    DeadlineUnreachableError,
     ProtocolError,
+    RequestError,
     TruncatedAnswerError,
-    request_error,
 )
 from lycheespar.protocol.body import BodyReceiver
 from lycheespar.protocol.connection import FrameConnection
 from lycheespar.protocol.framing import read_frame
+from lycheespar.protocol.heartbeat import Heartbeat
 from lycheespar.protocol.messages import (
     Accepted,
     BodyChunk,
@@ -32,23 +34,16 @@
     Ping,
     Pong,
     Refused,
-    Request,
     ResponseHead,
 )
+from lycheespar.protocol.pending import Pending, PendingTable, request
 
 CONNECT_TIMEOUT_S: Final = 1
-
-
-class _Pending:
-    """A call that waits for its answer."""
-
-    __slots__ = ('accepted', 'cancelled', 'head')
-
-    def __init__(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.accepted = False
-        self.head: asyncio.Future[Answer] = loop.create_future()
-        self.cancelled: asyncio.Future[bool] = loop.create_future()
+# Time in seconds for which a late call waits for the outcome of its
+# cancellation.
+CANCEL_REPLY_S: Final = 0.05
+# The same for a call whose channel was lost.
+RESOLVE_S: Final = 0.5
 
 
 class Channel:
@@ -58,91 +53,139 @@
     ----------
     reader, writer
         The connection.
-    hello : Hello
-        Who this node is.
+    peer : Hello
+        First message of the other node.
     """
 
-    __slots__ = ('_connection', '_pending', '_reader', '_task', '_tasks')
+    __slots__ = (
+        '_connection',
+        '_heartbeat',
+        '_peer',
+        '_pending',
+        '_reader',
+        '_task',
+        '_tasks',
+    )
 
     def __init__(
         self,
         reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        hello: Hello,
+        connection: FrameConnection,
+        peer: Hello,
     ) -> None:
-        """Start the task that reads the connection."""
+        """Start the tasks that read and watch the connection."""
         self._reader = reader
-        self._connection = FrameConnection(writer)
-        self._pending: dict[bytes, _Pending] = {}
+        self._connection = connection
+        self._peer = peer
+        self._pending = PendingTable(peer.clock_ms, self._give_up_silent)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._connection.send(hello)
+        self._heartbeat = Heartbeat(
+            connection,
+            self._pending,
+            self._give_up_silent,
+        )
         self._task = asyncio.create_task(self._read())
 
     @property
     def usable(self) -> bool:
         """Whether calls may be sent on this channel."""
-        return not (self._task.done() or self._connection.closing)
+        lost = self._task.done() or self._connection.closing
+        return not lost and self._pending.fresh
+
+    @property
+    def incarnation(self) -> int:
+        """Incarnation of the node at the other end."""
+        return self._peer.incarnation
 
-    async def execute(self, call: Call) -> Answer:
+    async def execute(self, call: Call, *, attach_only: bool = False) -> Answer:
         """Send a call and wait for the head of its answer.
 
+        Parameters
+        ----------
+        call : Call
+            The call.
+        attach_only : bool
+            Whether the node acknowledged the call before; it then attaches
+            to the execution and never starts another.
+
         Raises
         ------
         RefusedError
-            The node refused the call.
-        ChannelClosedError
-            The channel closed before anything was sent.
+            The call was definitely not run.
+        ChannelLostError
+            The channel was lost; the call may have run.
         OutcomeUnknownError
             The call may have run.
         """
         if not self.usable:
             raise ChannelClosedError
-        pending = _Pending()
-        self._pending[call.call_id] = pending
+        pending = self._pending.add(call.call_id)
         try:
-            self._send_request(call)
+            self._send_request(call, attach_only=attach_only)
             async with asyncio.timeout_at(call.deadline):
                 return await pending.head
         except TimeoutError as error:
-            self._connection.send(Cancel(call.call_id))
-            raise DeadlineExceededError from error
+            raise await self._withdraw(call.call_id, pending) from error
         except asyncio.CancelledError:
-            self._connection.send(Cancel(call.call_id))
+            self._connection.send(Cancel(call.call_id, pending.accepted))
             raise
         finally:
-            self._pending.pop(call.call_id, None)
+            self._pending.drop(call.call_id)
+
+    async def cancel(self, call_id: bytes, *, accepted: bool) -> bool:
+        """Cancel a call that was sent on an earlier channel.
+
+        Parameters
+        ----------
+        call_id : bytes
+            Id of the call, which was sent at most `CANCEL_TRUST_S` ago.
+        accepted : bool
+            Whether the node acknowledged the call.
+
+        Returns
+        -------
+        bool
+            False only if the call did not start and never will.
+        """
+        pending = self._pending.add(call_id)
+        pending.accepted = accepted
+        try:
+            return await self._cancel(call_id, pending, RESOLVE_S)
+        finally:
+            self._pending.drop(call_id)
 
     async def close(self) -> None:
-        """Close the channel; calls under way end as unknown."""
+        """Close the channel; calls under way are lost."""
         self._connection.close()
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
-    def _send_request(self, call: Call) -> None:
-        body = call.body
-        inline = body if isinstance(body, bytes) else b''
-        loop = asyncio.get_running_loop()
+    async def _withdraw(self, call_id: bytes, pending: Pending) -> RequestError:
+        """Cancel a call whose time is up; say how it ended."""
+        if await self._cancel(call_id, pending, CANCEL_REPLY_S):
+            return DeadlineExceededError()
+        return DeadlineUnreachableError('cancelled before its start')
+
+    async def _cancel(
+        self,
+        call_id: bytes,
+        pending: Pending,
+        timeout_s: float,
+    ) -> bool:
+        self._connection.send(Cancel(call_id, pending.accepted))
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await pending.cancelled or not pending.trusted
+        except TimeoutError:
+            return True
+
+    def _send_request(self, call: Call, *, attach_only: bool) -> None:
         self._connection.send(
-            Request(
-                call_id=call.call_id,
-                service=call.service,
-                method=call.method,
-                path=call.path,
-                headers=call.headers,
-                request_class=call.request_class,
-                weight=call.weight,
-                idempotent=call.idempotent,
-                budget_ms=(call.deadline - loop.time()) * 1000,
-                idempotency_key=call.idempotency_key,
-                fingerprint=call.fingerprint,
-                traceparent=call.traceparent,
-                body=inline,
-                streamed=body is not inline,
-            ),
+            request(call, self._pending.clock_ms, attach_only=attach_only),
         )
-        if not isinstance(body, bytes):
+        if not isinstance(call.body, bytes):
             task = asyncio.create_task(
-                self._connection.send_body(call.call_id, body),
+                self._connection.send_body(call.call_id, call.body),
             )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -152,36 +195,38 @@
         try:
             while True:
                 self._take(await read_frame(self._reader))
-        except (OSError, EOFError, ProtocolError) as error:
-            self._fail(error)
+        except (OSError, EOFError, ProtocolError):
+            return
         finally:
+            self._heartbeat.stop()
             self._connection.close()
-            self._fail(None)
+            self._lose(ChannelClosedError())
 
     def _take(self, message: Message) -> None:
+        self._heartbeat.note()
         match message:
             case ResponseHead():
                 self._take_head(message)
-            case Accepted(call_id):
-                if (pending := self._pending.get(call_id)) is not None:
-                    pending.accepted = True
+            case Accepted(call_id, clock_ms):
+                self._pending.accept(call_id, clock_ms)
             case Refused():
-                self._take_refusal(message)
+                self._pending.refuse(message)
             case BodyChunk() | BodyEnd() | BodyCredit():
                 self._connection.take_body_message(
                     message,
                     TruncatedAnswerError(),
                 )
             case CancelResult(call_id, started):
-                pending = self._pending.get(call_id)
-                if pending is not None and not pending.cancelled.done():
-                    pending.cancelled.set_result(started)
+                self._pending.cancelled(call_id, started=started)
             case Ping(serial):
                 self._connection.send(Pong(serial))
+            case Pong(_, clock_ms):
+                self._pending.set_clock(clock_ms)
             case _:
                 return
 
     def _take_head(self, head: ResponseHead) -> None:
+        """Take an answer; a late or repeated one is dropped."""
         pending = self._pending.get(head.call_id)
         if pending is None or pending.head.done():
             return
@@ -190,20 +235,9 @@
             Answer(head.status, head.headers, body, head.load),
         )
 
-    def _take_refusal(self, refused: Refused) -> None:
-        pending = self._pending.get(refused.call_id)
-        if pending is None or pending.head.done():
-            return
-        pending.head.set_exception(
-            request_error(
-                refused.code,
-                refused.detail,
-                refused.retry_after_s,
-            ),
-        )
-
     def _answer_body(self, head: ResponseHead) -> AsyncIterator[bytes]:
         receiver = self._connection.open_receiver(head.call_id)
+        self._heartbeat.enter()
         return self._cancel_unread(head.call_id, receiver)
 
     async def _cancel_unread(
@@ -218,17 +252,19 @@
                 yield chunk
             whole = True
         finally:
+            self._heartbeat.leave()
             if not whole:
                 self._connection.forget(call_id)
                 self._connection.send(Cancel(call_id))
 
-    def _fail(self, cause: Exception | None) -> None:
+    def _give_up_silent(self) -> None:
+        """Abandon the connection: its peer does not answer on it."""
+        self._connection.abort()
+        self._lose(ChannelSilentError())
+
+    def _lose(self, error: ChannelLostError) -> None:
         """End all calls under way; each may have run."""
-        error: LycheesparError = OutcomeUnknownError('channel lost')
-        error.__cause__ = cause
-        for pending in self._pending.values():
-            if not pending.head.done():
-                pending.head.set_exception(error)
+        self._pending.lose(error)
         self._connection.fail_bodies(TruncatedAnswerError('channel lost'))
 
 
@@ -242,7 +278,21 @@
     """
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(host, port)
-    except (OSError, TimeoutError) as error:
+            return await _greet(host, port, hello)
+    except (OSError, EOFError, ProtocolError) as error:
         raise ChannelConnectError(f'{host}:{port}') from error
-    return Channel(reader, writer, hello)
+
+
+async def _greet(host: str, port: int, hello: Hello) -> Channel:
+    """Connect, and exchange the first messages."""
+    reader, writer = await asyncio.open_connection(host, port)
+    connection = FrameConnection(writer)
+    try:
+        connection.send(hello)
+        peer = await read_frame(reader)
+        if not isinstance(peer, Hello):
+            raise ProtocolError('no Hello')
+    except BaseException:
+        connection.abort()
+        raise
+    return Channel(reader, connection, peer)
--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import AsyncIterator
 
-from lycheespar.errors import LycheesparError
+from lycheespar.call import close_body
+from lycheespar.errors import BodySequenceError, LycheesparError
 from lycheespar.protocol.body import BodyReceiver, SendWindow, split
 from lycheespar.protocol.framing import encode_frame
 from lycheespar.protocol.messages import (
@@ -15,6 +15,7 @@
     BodyEnd,
     Message,
 )
+from lycheespar.protocol.sockets import tune_socket
 
 
 class FrameConnection:
@@ -29,12 +30,11 @@
     __slots__ = ('_receivers', '_windows', '_writer')
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
-        """Wrap the connection and switch Nagle's algorithm off."""
+        """Wrap the connection and set its socket's options."""
         self._writer = writer
         self._receivers: dict[bytes, BodyReceiver] = {}
         self._windows: dict[bytes, SendWindow] = {}
-        sock = writer.get_extra_info('socket')
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        tune_socket(writer.get_extra_info('socket'))
 
     @property
     def closing(self) -> bool:
@@ -54,6 +54,10 @@
         """Close the connection."""
         self._writer.close()
 
+    def abort(self) -> None:
+        """Close the connection at once; what is buffered is not sent."""
+        self._writer.transport.abort()
+
     def open_receiver(self, call_id: bytes) -> BodyReceiver:
         """Start to receive the streamed body of a call."""
         receiver = BodyReceiver(
@@ -78,7 +82,7 @@
             async for chunk in body:
                 for part in split(chunk):
                     await window.take(len(part))
-                    self.send(BodyChunk(call_id, part))
+                    self.send(BodyChunk(call_id, length, part))
                     length += len(part)
                 await self.drain()
         except LycheesparError as error:
@@ -87,6 +91,7 @@
             self.send(BodyEnd(call_id, length, ''))
         finally:
             self._windows.pop(call_id, None)
+            await close_body(body)
 
     def take_body_message(
         self,
@@ -103,22 +108,14 @@
             Given to the consumer if the message says that the body was cut.
         """
         match message:
-            case BodyChunk(call_id, payload):
-                receiver = self._receivers.get(call_id)
-                if receiver is not None:
-                    receiver.feed(payload)
-            case BodyEnd(call_id, _, code):
-                receiver = self._receivers.pop(call_id, None)
-                if receiver is None:
-                    return
-                if code:
-                    receiver.fail(error)
-                else:
-                    receiver.finish()
             case BodyCredit(call_id, credit):
                 window = self._windows.get(call_id)
                 if window is not None:
                     window.grant(credit)
+            case _:
+                receiver = self._receivers.get(message.call_id)
+                if receiver is not None:
+                    self._feed(receiver, message, error)
 
     def forget(self, call_id: bytes) -> None:
         """Drop the body receiver of a call whose body is unwanted."""
@@ -131,3 +128,24 @@
         self._receivers.clear()
         for window in self._windows.values():
             window.grant(1)
+
+    def _feed(
+        self,
+        receiver: BodyReceiver,
+        message: BodyChunk | BodyEnd,
+        error: LycheesparError,
+    ) -> None:
+        """Hand a message on; one that breaks the sequence cuts the body."""
+        try:
+            match message:
+                case BodyChunk(_, offset, payload):
+                    receiver.feed(offset, payload)
+                case BodyEnd(_, length, ''):
+                    receiver.finish(length)
+                case _:
+                    receiver.fail(error)
+        except BodySequenceError:
+            receiver.fail(error)
+            self.forget(message.call_id)
+        if isinstance(message, BodyEnd):
+            self.forget(message.call_id)
--- a/lycheespar/protocol/messages.py
+++ b/lycheespar/protocol/messages.py
@@ -31,11 +31,14 @@
         Grows with each start of the sender.
     revision : int
         Revision of the configuration in force at the sender.
+    clock_ms : int
+        Clock of the sender in milliseconds, from an origin of its own.
     """
 
     node: str
     incarnation: int
     revision: int
+    clock_ms: int = 0
 
 
 class Request(_Message, frozen=True, tag=2):
@@ -49,6 +52,12 @@
         Whole body, or nothing if `streamed`.
     streamed : bool
         Whether the body follows in chunks.
+    echo_ms : int
+        Newest clock of the receiver that the sender knows; bounds the age
+        of the message without synchronised clocks.
+    attach_only : bool
+        Whether the receiver acknowledged this call before; it never starts
+        such a call, only attaches to its execution.
 
     The other attributes are those of `lycheespar.call.Call`.
     """
@@ -67,12 +76,21 @@
     traceparent: str
     body: bytes
     streamed: bool
+    echo_ms: int = 0
+    attach_only: bool = False
 
 
 class Accepted(_Message, frozen=True, tag=3):
-    """Confirms at once that a request was received."""
+    """Confirms at once that a request was received.
+
+    Attributes
+    ----------
+    clock_ms : int
+        Clock of the sender in milliseconds, from an origin of its own.
+    """
 
     call_id: bytes
+    clock_ms: int = 0
 
 
 class Refused(_Message, frozen=True, tag=4):
@@ -97,9 +115,16 @@
 
 
 class BodyChunk(_Message, frozen=True, tag=6):
-    """Part of a streamed body, of a request or of an answer."""
+    """Part of a streamed body, of a request or of an answer.
+
+    Attributes
+    ----------
+    offset : int
+        Bytes of the body that precede this part.
+    """
 
     call_id: bytes
+    offset: int
     payload: bytes
 
 
@@ -127,9 +152,16 @@
 
 
 class Cancel(_Message, frozen=True, tag=9):
-    """The sender no longer wants the answer."""
+    """The sender no longer wants the answer.
+
+    Attributes
+    ----------
+    accepted : bool
+        Whether the receiver acknowledged the call to the sender.
+    """
 
     call_id: bytes
+    accepted: bool = True
 
 
 class CancelResult(_Message, frozen=True, tag=10):
@@ -152,9 +184,16 @@
 
 
 class Pong(_Message, frozen=True, tag=12):
-    """Answers a `Ping`."""
+    """Answers a `Ping`.
+
+    Attributes
+    ----------
+    clock_ms : int
+        Clock of the sender in milliseconds, from an origin of its own.
+    """
 
     serial: int
+    clock_ms: int = 0
 
 
 Message = (
--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -4,13 +4,13 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Final
 
-from lycheespar.call import Answer, Call, Execution, Load
-from lycheespar.errors import (
-    BadRequestError,
-    ProtocolError,
-    RequestError,
-)
+from msgspec.structs import replace
+
+from lycheespar.admission.duplicates import DuplicateCheck
+from lycheespar.call import Answer, Call, Load
+from lycheespar.errors import BadRequestError, ProtocolError, RequestError
 from lycheespar.protocol.connection import FrameConnection
 from lycheespar.protocol.framing import read_frame
 from lycheespar.protocol.messages import (
@@ -19,6 +19,7 @@
     BodyCredit,
     BodyEnd,
     Cancel,
+    CancelResult,
     Hello,
     Message,
     Ping,
@@ -28,58 +29,103 @@
     ResponseHead,
 )
 
+# Age in milliseconds past which a request starts nothing; below the time for
+# which ids of calls are remembered, less the time for which they are resent.
+MAX_AGE_MS: Final = 15_000
+# Time in seconds between two checks for channels whose opener is gone.
+SWEEP_S: Final = 10
+# Time in seconds without a message after which a channel is closed; openers
+# send heartbeats more often.
+SILENT_S: Final = 30
+MS_PER_S: Final = 1000
+
 
 class ChannelServer:
     """Accepts channels of other nodes.
 
     Parameters
     ----------
-    execution : Execution
-        Runs the calls at the local target.
+    executions : DuplicateCheck
+        Runs each call once at the local target.
     load : Callable[[], Load]
         Gives the load of the local target, sent with each refusal.
     hello : Hello
         Who this node is.
     """
 
-    __slots__ = ('_execution', '_hello', '_load', '_peers', '_server')
+    __slots__ = (
+        '_executions',
+        '_hello',
+        '_load',
+        '_peers',
+        '_server',
+        '_sweeper',
+    )
 
     def __init__(
         self,
-        execution: Execution,
+        executions: DuplicateCheck,
         load: Callable[[], Load],
         hello: Hello,
     ) -> None:
         """Keep the parts; `start` opens the port."""
-        self._execution = execution
+        self._executions = executions
         self._load = load
         self._hello = hello
         self._peers: set[ChannelPeer] = set()
         self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Address on which the server listens.
+
+        Raises
+        ------
+        ProtocolError
+            The server has not started.
+        """
+        if self._server is None:
+            raise ProtocolError('not started')
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return host, port
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address."""
         self._server = await asyncio.start_server(self._serve, host, port)
+        self._sweeper = asyncio.create_task(self._sweep())
 
     async def stop(self) -> None:
-        """Close the port and all channels."""
+        """Close the port and all channels; end what is under way."""
         if self._server is not None:
             self._server.close()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
         for peer in tuple(self._peers):
             peer.close()
+        await self._executions.close()
 
     async def _serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        peer = ChannelPeer(writer, self._execution, self._load)
+        peer = ChannelPeer(writer, self._executions, self._load)
         self._peers.add(peer)
         try:
             await peer.run(reader, self._hello)
         finally:
             self._peers.discard(peer)
 
+    async def _sweep(self) -> None:
+        """Close the channels whose openers have gone silent."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            heard_after = asyncio.get_running_loop().time() - SILENT_S
+            for peer in tuple(self._peers):
+                if peer.heard_at < heard_after:
+                    peer.abort()
+
 
 class ChannelPeer:
     """One channel that another node has opened.
@@ -88,68 +134,120 @@
     ----------
     writer : asyncio.StreamWriter
         Writing end of the connection.
-    execution : Execution
+    executions : DuplicateCheck
         Runs the calls.
     load : Callable[[], Load]
         Gives the load of the local target.
+
+    Attributes
+    ----------
+    heard_at : float
+        Instant of the last message on the event loop's clock, in seconds.
     """
 
-    __slots__ = ('_calls', '_connection', '_execution', '_load')
+    __slots__ = ('_connection', '_executions', '_load', '_loop', 'heard_at')
 
     def __init__(
         self,
         writer: asyncio.StreamWriter,
-        execution: Execution,
+        executions: DuplicateCheck,
         load: Callable[[], Load],
     ) -> None:
         """Wrap the connection."""
         self._connection = FrameConnection(writer)
-        self._execution = execution
+        self._executions = executions
         self._load = load
-        self._calls: dict[bytes, asyncio.Task[None]] = {}
+        self._loop = asyncio.get_running_loop()
+        self.heard_at = self._loop.time()
 
     def close(self) -> None:
         """Close the channel."""
         self._connection.close()
 
+    def abort(self) -> None:
+        """Close the channel at once."""
+        self._connection.abort()
+
     async def run(self, reader: asyncio.StreamReader, hello: Hello) -> None:
-        """Serve the channel until it ends; its calls are then cancelled."""
-        self._connection.send(hello)
+        """Serve the channel until it ends; its calls are then detached."""
+        self._connection.send(replace(hello, clock_ms=self._clock_ms()))
         try:
             while True:
-                self._take(await read_frame(reader))
+                message = await read_frame(reader)
+                self.heard_at = self._loop.time()
+                self._take(message)
         except (OSError, EOFError, ProtocolError):
             return
         finally:
             self._connection.close()
             self._connection.fail_bodies(BadRequestError('channel lost'))
-            for task in self._calls.values():
-                task.cancel()
+            self._executions.detach(self)
+
+    async def answer(self, call_id: bytes, answer: Answer) -> None:
+        """Send the answer of a call."""
+        body = answer.body
+        whole = isinstance(body, bytes)
+        self._connection.send(
+            ResponseHead(
+                call_id,
+                answer.status,
+                answer.headers,
+                answer.load,
+                body if isinstance(body, bytes) else b'',
+                not whole,
+            ),
+        )
+        if not isinstance(body, bytes):
+            await self._connection.send_body(call_id, body)
+        self._connection.forget(call_id)
+
+    def refuse(self, call_id: bytes, error: RequestError) -> None:
+        """Send the error of a call."""
+        self._connection.forget(call_id)
+        self._connection.send(
+            Refused(
+                call_id,
+                error.code,
+                error.detail,
+                error.retry_after_s,
+                self._load(),
+            ),
+        )
+
+    def _clock_ms(self) -> int:
+        return int(self._loop.time() * MS_PER_S)
 
     def _take(self, message: Message) -> None:
         match message:
             case Request():
-                self._start(message)
-            case Cancel(call_id):
-                if (task := self._calls.get(call_id)) is not None:
-                    task.cancel()
+                self._submit(message)
+            case Cancel(call_id, accepted):
+                started = self._executions.cancel(call_id, accepted=accepted)
+                self._connection.forget(call_id)
+                self._connection.send(CancelResult(call_id, started))
             case BodyChunk() | BodyEnd() | BodyCredit():
                 self._connection.take_body_message(
                     message,
                     BadRequestError('the body of the request was cut'),
                 )
             case Ping(serial):
-                self._connection.send(Pong(serial))
+                self._connection.send(Pong(serial, self._clock_ms()))
             case _:
                 return
 
-    def _start(self, request: Request) -> None:
-        self._connection.send(Accepted(request.call_id))
-        task = asyncio.create_task(self._run_call(self._call(request)))
-        self._calls[request.call_id] = task
+    def _submit(self, request: Request) -> None:
+        clock_ms = self._clock_ms()
+        self._connection.send(Accepted(request.call_id, clock_ms))
+        if self._executions.attach(request.call_id, self):
+            return
+        late = clock_ms - request.echo_ms > MAX_AGE_MS
+        self._executions.submit(
+            self._call(request),
+            self,
+            attach_only=request.attach_only or late,
+        )
 
     def _call(self, request: Request) -> Call:
-        loop = asyncio.get_running_loop()
         return Call(
             call_id=request.call_id,
             service=request.service,
@@ -164,44 +262,8 @@
             request_class=request.request_class,
             weight=request.weight,
             idempotent=request.idempotent,
-            deadline=loop.time() + request.budget_ms / 1000,
+            deadline=self._loop.time() + request.budget_ms / MS_PER_S,
             idempotency_key=request.idempotency_key,
             fingerprint=request.fingerprint,
             traceparent=request.traceparent,
         )
-
-    async def _run_call(self, call: Call) -> None:
-        try:
-            await self._send_answer(
-                call.call_id,
-                await self._execution.execute(call),
-            )
-        except RequestError as error:
-            self._connection.send(
-                Refused(
-                    call.call_id,
-                    error.code,
-                    error.detail,
-                    error.retry_after_s,
-                    self._load(),
-                ),
-            )
-        finally:
-            self._calls.pop(call.call_id, None)
-            self._connection.forget(call.call_id)
-
-    async def _send_answer(self, call_id: bytes, answer: Answer) -> None:
-        body = answer.body
-        whole = isinstance(body, bytes)
-        self._connection.send(
-            ResponseHead(
-                call_id,
-                answer.status,
-                answer.headers,
-                answer.load,
-                body if isinstance(body, bytes) else b'',
-                not whole,
-            ),
-        )
-        if not isinstance(body, bytes):
-            await self._connection.send_body(call_id, body)
--- /dev/null
+++ b/lycheespar/protocol/sockets.py
@@ -0,0 +1,51 @@
+"""Socket options that find connections which have gone silent."""
+
+from __future__ import annotations
+
+import socket
+from typing import Final
+
+# Idle time in seconds before the kernel probes a connection.
+KEEPALIVE_IDLE_S: Final = 10
+# Time in seconds between two probes.
+KEEPALIVE_INTERVAL_S: Final = 3
+# Unanswered probes after which the connection is closed.
+KEEPALIVE_PROBES: Final = 3
+# Time in milliseconds for which sent bytes may stay unacknowledged.
+USER_TIMEOUT_MS: Final = 10_000
+
+_TCP_OPTIONS: Final = (
+    (socket.TCP_NODELAY, 1),
+    (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+)
+
+AddressInfo = tuple[
+    int,
+    int,
+    int,
+    str,
+    tuple[str, int] | tuple[str, int, int, int] | tuple[int, bytes],
+]
+
+
+def tune_socket(sock: socket.socket) -> None:
+    """Set keepalive, user timeout and no delay on a TCP socket.
+
+    An idle connection whose peer is gone is closed after
+    ``KEEPALIVE_IDLE_S + KEEPALIVE_INTERVAL_S * KEEPALIVE_PROBES`` seconds,
+    one with unacknowledged bytes after `USER_TIMEOUT_MS`.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, choice in _TCP_OPTIONS:
+        sock.setsockopt(socket.IPPROTO_TCP, option, choice)
+
+
+def tuned_socket(address: AddressInfo) -> socket.socket:
+    """Make the socket of an outgoing connection (aiohttp's hook)."""
+    sock = socket.socket(*address[:3])
+    sock.setblocking(False)
+    tune_socket(sock)
+    return sock
--- a/lycheespar/routing/pool.py
+++ b/lycheespar/routing/pool.py
@@ -1,12 +1,10 @@
-"""Channels to other nodes, opened when first used."""
+"""Other nodes as places of execution, with channels opened when first used."""
 
 from __future__ import annotations
 
-import asyncio
-
 from lycheespar.membership.records import MemberRecord
-from lycheespar.protocol.channel import Channel, open_channel
 from lycheespar.protocol.messages import Hello
+from lycheespar.protocol.remote import RemoteNode
 
 
 class ChannelPool:
@@ -18,39 +16,24 @@
         Who this node is.
     """
 
-    __slots__ = ('_channels', '_hello', '_locks')
+    __slots__ = ('_hello', '_nodes')
 
     def __init__(self, hello: Hello) -> None:
         """Start without channels."""
         self._hello = hello
-        self._channels: dict[str, Channel] = {}
-        self._locks: dict[str, asyncio.Lock] = {}
-
-    async def get(self, record: MemberRecord) -> Channel:
-        """Return a usable channel to a node.
-
-        Raises
-        ------
-        ChannelConnectError
-            The node can't be reached.
-        """
-        key = f'{record.node}#{record.incarnation}'
-        channel = self._channels.get(key)
-        if channel is not None and channel.usable:
-            return channel
-        async with self._locks.setdefault(key, asyncio.Lock()):
-            channel = self._channels.get(key)
-            if channel is None or not channel.usable:
-                channel = await open_channel(
-                    record.host,
-                    record.inner_port,
-                    self._hello,
-                )
-                self._channels[key] = channel
-            return channel
+        self._nodes: dict[str, tuple[int, RemoteNode]] = {}
+
+    async def get(self, record: MemberRecord) -> RemoteNode:
+        """Return the execution at a node; it opens its channel when used."""
+        incarnation, remote = self._nodes.get(record.node, (None, None))
+        if remote is not None and incarnation == record.incarnation:
+            return remote
+        remote = RemoteNode(record.host, record.inner_port, self._hello)
+        self._nodes[record.node] = (record.incarnation, remote)
+        return remote
 
     async def close(self) -> None:
         """Close all channels."""
-        for channel in self._channels.values():
-            await channel.close()
-        self._channels.clear()
+        for _, remote in self._nodes.values():
+            await remote.close()
+        self._nodes.clear()
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncGenerator, Iterable
 from typing import Final
 
 import aiohttp
 from aiohttp import hdrs
 from yarl import URL
 
-from lycheespar.call import Answer, Body, Call, Headers, Load
+from lycheespar.call import Answer, Body, Call, Headers, Load, primed
 from lycheespar.errors import (
     DeadlineExceededError,
     TargetGoneError,
@@ -18,6 +18,7 @@
     TruncatedAnswerError,
 )
 from lycheespar.protocol.body import CHUNK_BYTES, INLINE_BYTES
+from lycheespar.protocol.sockets import tuned_socket
 from lycheespar.targets.announcement import Announcement
 
 CONNECT_TIMEOUT_S: Final = 1
@@ -56,7 +57,9 @@
             connector=aiohttp.TCPConnector(
                 limit=announcement.connections,
                 use_dns_cache=False,
+                socket_factory=tuned_socket,
             ),
+            middlewares=(_never_resend,),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=_NOT_ADDED,
@@ -126,17 +129,42 @@
     )
 
 
+async def _never_resend(
+    request: aiohttp.ClientRequest,
+    handler: aiohttp.ClientHandlerType,
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending a request again.
+
+    It would do so by the HTTP method alone when a pooled connection breaks,
+    so that a request which may not be repeated could run twice.
+
+    Raises
+    ------
+    TargetLostError
+        The connection broke after the request may have been sent.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise TargetLostError(str(error)) from error
+
+
 async def _read_small(response: aiohttp.ClientResponse) -> Body:
     """Read a small body whole; return an iterator of a larger one."""
     length = response.content_length
     if length is not None and length <= INLINE_BYTES:
         return await response.read()
-    return _stream(response)
+    return await primed(_stream(response))
 
 
-async def _stream(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+async def _stream(
+    response: aiohttp.ClientResponse,
+) -> AsyncGenerator[bytes, None]:
     whole = False
     try:
+        yield b''
         async for chunk in response.content.iter_chunked(CHUNK_BYTES):
             yield chunk
         whole = True
--- /dev/null
+++ b/lycheespar/tests/admission/duplicates_tests.py
@@ -0,0 +1,91 @@
+"""Each call is started at most once, and its outcome is kept a while."""
+
+from __future__ import annotations
+
+import asyncio
+
+from lycheespar.admission import duplicates
+from lycheespar.admission.duplicates import DuplicateCheck
+from lycheespar.admission.generations import Generations
+from lycheespar.errors import OutcomeUnknownError, OverloadedError
+from lycheespar.tests.protocol.nodes import FakeTarget, new_call
+
+
+class _Sender:
+    def __init__(self) -> None:
+        self.outcomes: asyncio.Queue = asyncio.Queue()
+
+    async def answer(self, call_id, answer) -> None:
+        self.outcomes.put_nowait(answer)
+
+    def refuse(self, call_id, error) -> None:
+        self.outcomes.put_nowait(error)
+
+
+async def test_an_answer_that_is_no_longer_kept_starts_nothing(monkeypatch):
+    monkeypatch.setattr(duplicates, 'REPLAY_BYTES', 4)
+    target, sender = FakeTarget(), _Sender()
+    check = DuplicateCheck(target)
+    call = new_call()
+    check.submit(call, sender)
+    await sender.outcomes.get()
+    check.submit(call, sender)
+    assert isinstance(await sender.outcomes.get(), OutcomeUnknownError)
+    assert target.executions['/book'] == 1
+
+
+async def test_an_abandoned_call_is_ended(monkeypatch):
+    monkeypatch.setattr(duplicates, 'DETACHED_S', 0.05)
+    target, sender = FakeTarget(), _Sender()
+    target.may_end.clear()
+    check = DuplicateCheck(target)
+    call = new_call()
+    check.submit(call, sender)
+    await target.busy.wait()
+    check.detach(sender)
+    while check.attach(call.call_id, sender):
+        check.detach(sender)
+        await asyncio.sleep(0.1)
+    assert check.cancel(call.call_id, accepted=True)
+
+
+async def test_a_call_with_a_key_runs_on_without_its_sender(monkeypatch):
+    monkeypatch.setattr(duplicates, 'DETACHED_S', 0.01)
+    target, sender = FakeTarget(), _Sender()
+    target.may_end.clear()
+    check = DuplicateCheck(target)
+    call = new_call()
+    call.idempotency_key = 'key'
+    check.submit(call, sender)
+    await target.busy.wait()
+    check.detach(sender)
+    await asyncio.sleep(0.05)
+    target.may_end.set()
+    assert check.attach(call.call_id, sender)
+    assert (await sender.outcomes.get()).body == b'whole'
+
+
+async def test_memory_for_ids_is_bounded(monkeypatch):
+    monkeypatch.setattr(duplicates, 'MAX_REMEMBERED', 3)
+    target, sender = FakeTarget(), _Sender()
+    check = DuplicateCheck(target)
+    for serial in range(3):
+        assert not check.cancel(bytes([serial]), accepted=False)
+    assert check.cancel(b'more', accepted=False)
+    check.submit(new_call(), sender)
+    assert isinstance(await sender.outcomes.get(), OverloadedError)
+    assert not target.executions
+
+
+def test_an_id_is_remembered_for_the_least_time(monkeypatch):
+    now = [0.0]
+    monkeypatch.setattr('time.monotonic', lambda: now[0])
+    ids = Generations(30)
+    ids.add(b'first')
+    now[0] = 59.9
+    ids.add(b'second')
+    assert b'first' in ids
+    now[0] = 89.9
+    ids.add(b'third')
+    assert b'first' not in ids
+    assert b'second' in ids
--- /dev/null
+++ b/lycheespar/tests/protocol/body_tests.py
@@ -0,0 +1,52 @@
+"""Streamed bodies arrive whole or end with an error."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheespar.errors import BodySequenceError
+from lycheespar.protocol.body import WINDOW_BYTES, BodyReceiver
+
+_CHUNKS = st.lists(st.binary(min_size=1, max_size=20), min_size=2, max_size=8)
+_FAULTS = st.sampled_from(['repeat', 'drop', 'swap', 'none'])
+
+
+def _frames(chunks: list[bytes], fault: str, place: int):
+    offsets = [len(b''.join(chunks[:index])) for index in range(len(chunks))]
+    frames = list(zip(offsets, chunks, strict=True))
+    match fault:
+        case 'repeat':
+            frames.insert(place, frames[place])
+        case 'drop':
+            frames.pop(place)
+        case 'swap':
+            frames[place - 1], frames[place] = frames[place], frames[place - 1]
+    return frames
+
+
+@given(_CHUNKS, _FAULTS, st.data())
+async def test_a_body_with_a_fault_is_never_taken_as_whole(chunks, fault, data):
+    place = data.draw(st.integers(1, len(chunks) - 1))
+    receiver = BodyReceiver(lambda _: None)
+    try:
+        for offset, chunk in _frames(chunks, fault, place):
+            receiver.feed(offset, chunk)
+        receiver.finish(len(b''.join(chunks)))
+    except BodySequenceError:
+        assert fault != 'none'
+        return
+    assert fault == 'none'
+    assert b''.join([part async for part in receiver]) == b''.join(chunks)
+
+
+async def test_a_sender_that_ignores_the_window_is_cut():
+    receiver = BodyReceiver(lambda _: None)
+    chunk = b'x' * 65536
+    sent = 0
+    with pytest.raises(BodySequenceError):
+        while True:
+            receiver.feed(sent, chunk)
+            sent += len(chunk)
+    assert sent <= WINDOW_BYTES + len(chunk)
--- /dev/null
+++ b/lycheespar/tests/protocol/nodes.py
@@ -0,0 +1,95 @@
+"""Executing nodes of tests: real servers in front of a fake target."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from lycheespar.admission.duplicates import DuplicateCheck
+from lycheespar.call import Answer, Body, Call, Load
+from lycheespar.protocol.messages import Hello
+from lycheespar.protocol.remote import RemoteNode
+from lycheespar.protocol.server import ChannelServer
+from standins.link import Link
+
+LOAD = Load()
+CLIENT = Hello('client', 1, 0)
+
+
+class FakeTarget:
+    """Runs calls one after the other and counts how often each was started."""
+
+    def __init__(self) -> None:
+        self.executions: Counter[str] = Counter()
+        self.busy = asyncio.Event()
+        self.may_start = asyncio.Event()
+        self.may_end = asyncio.Event()
+        self.body: Body = b'whole'
+        self.may_start.set()
+        self.may_end.set()
+
+    async def execute(self, call: Call) -> Answer:
+        """Wait for the start, count it, wait for the end."""
+        self.busy.set()
+        await self.may_start.wait()
+        call.started = True
+        self.executions[call.path] += 1
+        await self.may_end.wait()
+        return Answer(200, (), self.body, LOAD)
+
+
+class Node:
+    """One executing node, reached through a link that can fail."""
+
+    def __init__(self, incarnation: int = 1) -> None:
+        self.target = FakeTarget()
+        self.executions = DuplicateCheck(self.target)
+        hello = Hello('server', incarnation, 0)
+        self.server = ChannelServer(self.executions, Load, hello)
+
+    async def start(self) -> None:
+        """Open the ports."""
+        await self.server.start('127.0.0.1', 0)
+        self.link = Link(*self.server.address)
+        await self.link.start()
+        self.remote = RemoteNode(*self.link.address, CLIENT)
+
+    async def stop(self) -> None:
+        """Close the ports."""
+        await self.remote.close()
+        await self.link.stop()
+        await self.server.stop()
+
+
+@asynccontextmanager
+async def running_node() -> AsyncIterator[Node]:
+    """Run a node."""
+    node = Node()
+    await node.start()
+    try:
+        yield node
+    finally:
+        await node.stop()
+
+
+def new_call(
+    path: str = '/book',
+    deadline_s: float = 20,
+    body: Body = b'',
+) -> Call:
+    """Return a call that may not be repeated."""
+    return Call(
+        call_id=random.randbytes(16),
+        service='vlotwacht/station-records',
+        method='POST',
+        path=path,
+        headers=(),
+        body=body,
+        request_class='default',
+        weight=1,
+        idempotent=False,
+        deadline=asyncio.get_running_loop().time() + deadline_s,
+    )
--- /dev/null
+++ b/lycheespar/tests/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the connections to targets."""
