--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -268,9 +268,23 @@
         self._connection.fail_bodies(TruncatedAnswerError('channel lost'))
 
 
-async def open_channel(host: str, port: int, hello: Hello) -> Channel:
+async def open_channel(
+    host: str,
+    port: int,
+    hello: Hello,
+    source: str,
+) -> Channel:
     """Open a channel to a node.
 
+    Parameters
+    ----------
+    host, port
+        Address of the node's inner protocol.
+    hello : Hello
+        Who this node is.
+    source : str
+        IP number of this node from which the connection is made.
+
     Raises
     ------
     ChannelConnectError
@@ -278,14 +292,22 @@
     """
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            return await _greet(host, port, hello)
+            reader, writer = await asyncio.open_connection(
+                host,
+                port,
+                local_addr=(source, 0),
+            )
+            return await _greet(reader, writer, hello)
     except (OSError, EOFError, ProtocolError) as error:
         raise ChannelConnectError(f'{host}:{port}') from error
 
 
-async def _greet(host: str, port: int, hello: Hello) -> Channel:
-    """Connect, and exchange the first messages."""
-    reader, writer = await asyncio.open_connection(host, port)
+async def _greet(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    hello: Hello,
+) -> Channel:
+    """Exchange the first messages."""
     connection = FrameConnection(writer)
     try:
         connection.send(hello)
--- a/lycheespar/protocol/remote.py
+++ b/lycheespar/protocol/remote.py
@@ -62,12 +62,28 @@
         Port of its inner protocol.
     hello : Hello
         Who this node is.
+    source : str
+        IP number of this node from which channels are opened.
     """
 
-    __slots__ = ('_channel', '_hello', '_host', '_opening', '_port')
-
-    def __init__(self, host: str, port: int, hello: Hello) -> None:
+    __slots__ = (
+        '_channel',
+        '_hello',
+        '_host',
+        '_opening',
+        '_port',
+        '_source',
+    )
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        hello: Hello,
+        source: str,
+    ) -> None:
         """Start without a channel."""
+        self._source = source
         self._host = host
         self._port = port
         self._hello = hello
@@ -161,6 +177,7 @@
             self._host,
             self._port,
             self._hello,
+            self._source,
         )
         return self._channel
 
--- a/lycheespar/routing/pool.py
+++ b/lycheespar/routing/pool.py
@@ -14,12 +14,15 @@
     ----------
     hello : Hello
         Who this node is.
+    source : str
+        IP number of this node from which channels are opened.
     """
 
-    __slots__ = ('_hello', '_nodes')
+    __slots__ = ('_hello', '_nodes', '_source')
 
-    def __init__(self, hello: Hello) -> None:
+    def __init__(self, hello: Hello, source: str) -> None:
         """Start without channels."""
+        self._source = source
         self._hello = hello
         self._nodes: dict[str, tuple[int, RemoteNode]] = {}
 
@@ -28,7 +31,12 @@
         incarnation, remote = self._nodes.get(record.node, (None, None))
         if remote is not None and incarnation == record.incarnation:
             return remote
-        remote = RemoteNode(record.host, record.inner_port, self._hello)
+        remote = RemoteNode(
+            record.host,
+            record.inner_port,
+            self._hello,
+            self._source,
+        )
         self._nodes[record.node] = (record.incarnation, remote)
         return remote
 
--- a/lycheespar/tests/protocol/nodes.py
+++ b/lycheespar/tests/protocol/nodes.py
@@ -55,7 +55,7 @@
         await self.server.start('127.0.0.1', 0)
         self.link = Link(*self.server.address)
         await self.link.start()
-        self.remote = RemoteNode(*self.link.address, CLIENT)
+        self.remote = RemoteNode(*self.link.address, CLIENT, '127.0.0.1')
 
     async def stop(self) -> None:
         """Close the ports."""
