--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from typing import Protocol
+from collections.abc import AsyncGenerator, AsyncIterator
+from typing import Protocol, runtime_checkable
 
 import msgspec
 
@@ -64,6 +64,8 @@
         Digest that is equal for requests that are alike.
     traceparent : str
         W3C trace context, empty for requests that are not traced.
+    started : bool
+        Whether the request may have been sent to a target; set just before.
     """
 
     call_id: bytes
@@ -79,6 +81,7 @@
     idempotency_key: str = ''
     fingerprint: bytes = b''
     traceparent: str = ''
+    started: bool = False
 
 
 class Answer(msgspec.Struct, gc=False):
@@ -129,3 +132,27 @@
         OutcomeUnknownError
             The call may have run.
         """
+
+
+@runtime_checkable
+class ClosableBody(Protocol):
+    """A streamed body that holds something until its end."""
+
+    async def aclose(self) -> None:
+        """Release what the body holds."""
+
+
+async def close_body(body: Body) -> None:
+    """End a streamed body that nobody reads any more."""
+    if isinstance(body, ClosableBody):
+        await body.aclose()
+
+
+async def primed(body: AsyncGenerator[bytes, None]) -> Body:
+    """Run a body up to its first, empty chunk.
+
+    A generator that was never started would not release what it holds when
+    it is closed.
+    """
+    await anext(body)
+    return body
--- a/lycheespar/targets/body.py
+++ b/lycheespar/targets/body.py
@@ -60,6 +60,10 @@
         """Call a function once when the body has ended or was closed."""
         self._listeners.append(listener)
 
+    async def aclose(self) -> None:
+        """Close the body, as nobody reads it any more."""
+        self.close()
+
     def close(self) -> None:
         """Close the connection unless the body has ended."""
         if self._response is not None:
