--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncGenerator, AsyncIterator
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 import msgspec
 
@@ -11,6 +11,14 @@
 Body = bytes | AsyncIterator[bytes]
 
 
+@runtime_checkable
+class Closable(Protocol):
+    """A body that holds resources until it is closed."""
+
+    def close(self) -> None:
+        """Release the resources; nothing is read afterwards."""
+
+
 class Load(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Load of one target, as its own node sees it.
 
@@ -24,12 +32,15 @@
         Requests that may run at once now.
     latency_ms : float
         Smoothed latency of the target in milliseconds.
+    failure_share : float
+        Share of the target's last answers that were failures, 0 to 1.
     """
 
     running: int = 0
     queued: int = 0
     limit: int = 1
     latency_ms: float = 0
+    failure_share: float = 0
 
 
 class Call(msgspec.Struct, gc=False):
@@ -133,15 +144,8 @@
 
 async def close_body(body: Body) -> None:
     """End a streamed body that nobody reads any more."""
-    if isinstance(body, AsyncGenerator):
-        await body.aclose()
-
-
-async def primed(body: AsyncGenerator[bytes, None]) -> Body:
-    """Run a body up to its first, empty chunk.
-
-    A generator that was never started would not release what it holds when
-    it is closed.
-    """
-    await anext(body)
-    return body
+    match body:
+        case AsyncGenerator():
+            await body.aclose()
+        case Closable():
+            body.close()
--- a/lycheespar/tests/targets/__init__.py
+++ b/lycheespar/tests/targets/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the connections to targets."""
+"""Tests of announcements, connections to the target and probes."""
