--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -11,6 +11,14 @@
 Body = bytes | AsyncIterator[bytes]
 
 
+@runtime_checkable
+class Closable(Protocol):
+    """A body that holds resources until it is closed."""
+
+    def close(self) -> None:
+        """Release the resources; nothing is read afterwards."""
+
+
 class Load(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Load of one target, as its own node sees it.
 
@@ -134,25 +142,10 @@
         """
 
 
-@runtime_checkable
-class ClosableBody(Protocol):
-    """A streamed body that holds something until its end."""
-
-    async def aclose(self) -> None:
-        """Release what the body holds."""
-
-
 async def close_body(body: Body) -> None:
     """End a streamed body that nobody reads any more."""
-    if isinstance(body, ClosableBody):
-        await body.aclose()
-
-
-async def primed(body: AsyncGenerator[bytes, None]) -> Body:
-    """Run a body up to its first, empty chunk.
-
-    A generator that was never started would not release what it holds when
-    it is closed.
-    """
-    await anext(body)
-    return body
+    match body:
+        case AsyncGenerator():
+            await body.aclose()
+        case Closable():
+            body.close()
