--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -19,6 +19,7 @@
 from lycheespar.control.follower import ConfigurationFollower
 from lycheespar.control.link import ControlLink
 from lycheespar.control.messages import ControlReply
+from lycheespar.control.saved import SavedConfiguration
 from lycheespar.ingress.server import IngressServer
 from lycheespar.membership.broadcast import BroadcastTable
 from lycheespar.membership.gossip import Gossip
@@ -54,7 +55,14 @@
         self._settings = settings
         incarnation = time.time_ns()
         self._target = LocalTarget()
-        self._configuration = ConfigurationView(Configuration())
+        self._saved = (
+            SavedConfiguration(Path(settings.data_folder))
+            if settings.data_folder
+            else None
+        )
+        self._configuration = ConfigurationView(
+            self._saved.load() if self._saved else Configuration(),
+        )
         self._members = MembershipView()
         advertised = settings.advertise_inner or settings.inner
         own = MemberRecord(
@@ -81,7 +89,7 @@
             settings.data_centre,
             float('inf') if settings.serve_stale else settings.stale_after_s,
         )
-        self._pool = ChannelPool(hello)
+        self._pool = ChannelPool(hello, settings.inner.host)
         self._router = Router(
             Attempts(
                 settings.name,
@@ -113,6 +121,7 @@
                 ControlLink(context, address, ControlReply)
                 for address in settings.control.values()
             ],
+            self._saved,
         )
         follower.start()
         await self._gossip.start()
@@ -167,9 +176,9 @@
 
         settings = self._settings
         context = zmq.asyncio.Context()
-        host = ControlHost(Path(settings.data_folder), context)
-        api = OperatorApi(host.store, host.progress)
-        await host.start(settings.peers[settings.name])
+        host = ControlHost(settings, context)
+        api = OperatorApi(host)
+        await host.start()
         await api.start(settings.http)
         log.info("Control host '{}' serves.", settings.name)
         await stopped.wait()
--- a/lycheespar/routing/table.py
+++ b/lycheespar/routing/table.py
@@ -159,7 +159,7 @@
         """Share of failures among the latest calls, 0 to 1."""
         own = self._own_failure_share(now)
         trust = decay(now - self.load_at, OUTCOME_HALF_LIFE_S)
-        return max(own, getattr(self.load, 'failure_share', 0) * trust)
+        return max(own, self.load.failure_share * trust)
 
     def _own_failure_share(self, now: float) -> float:
         if not self._failure_share:
--- a/lycheespar/streams.py
+++ b/lycheespar/streams.py
@@ -3,10 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Callable
+from typing import Protocol, runtime_checkable
 
 from lycheespar.call import Body
 
 
+@runtime_checkable
+class Closable(Protocol):
+    """A stream that closes at once."""
+
+    def close(self) -> None:
+        """Close the stream."""
+
+
 class GuardedStream:
     """A stream with a clean-up that also runs if it is never read.
 
@@ -63,6 +72,7 @@
 
 async def close_stream(body: Body | AsyncIterator[bytes]) -> None:
     """Close a body that is not read any further."""
-    close = getattr(body, 'aclose', None)
-    if close is not None:
-        await close()
+    if isinstance(body, Closable):
+        body.close()
+    elif not isinstance(body, bytes) and hasattr(body, 'aclose'):
+        await body.aclose()
