--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from functools import partial
 from typing import Final
 
 from lycheespar.call import Answer, Call
@@ -18,7 +19,6 @@
     RequestError,
     TruncatedAnswerError,
 )
-from lycheespar.protocol.body import BodyReceiver
 from lycheespar.protocol.connection import FrameConnection
 from lycheespar.protocol.framing import read_frame
 from lycheespar.protocol.heartbeat import Heartbeat
@@ -37,6 +37,7 @@
     ResponseHead,
 )
 from lycheespar.protocol.pending import Pending, PendingTable, request
+from lycheespar.streams import GuardedStream
 
 CONNECT_TIMEOUT_S: Final = 1
 # Time in seconds for which a late call waits for the outcome of its
@@ -236,26 +237,19 @@
         )
 
     def _answer_body(self, head: ResponseHead) -> AsyncIterator[bytes]:
+        """Return the body; cancel the call if its consumer leaves early."""
         receiver = self._connection.open_receiver(head.call_id)
         self._heartbeat.enter()
-        return self._cancel_unread(head.call_id, receiver)
+        return GuardedStream(
+            aiter(receiver),
+            partial(self._cancel_unread, head.call_id),
+        )
 
-    async def _cancel_unread(
-        self,
-        call_id: bytes,
-        receiver: BodyReceiver,
-    ) -> AsyncIterator[bytes]:
-        """Yield the body; cancel the call if the consumer leaves early."""
-        whole = False
-        try:
-            async for chunk in receiver:
-                yield chunk
-            whole = True
-        finally:
-            self._heartbeat.leave()
-            if not whole:
-                self._connection.forget(call_id)
-                self._connection.send(Cancel(call_id))
+    def _cancel_unread(self, call_id: bytes, whole: bool) -> None:
+        self._heartbeat.leave()
+        if not whole:
+            self._connection.forget(call_id)
+            self._connection.send(Cancel(call_id))
 
     def _give_up_silent(self) -> None:
         """Abandon the connection: its peer does not answer on it."""
--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import AsyncIterator
 
-from lycheespar.call import close_body
 from lycheespar.errors import BodySequenceError, LycheesparError
 from lycheespar.protocol.body import BodyReceiver, SendWindow, split
 from lycheespar.protocol.framing import encode_frame
@@ -16,6 +15,7 @@
     Message,
 )
 from lycheespar.protocol.sockets import tune_socket
+from lycheespar.streams import close_stream
 
 
 class FrameConnection:
@@ -91,7 +91,7 @@
             self.send(BodyEnd(call_id, length, ''))
         finally:
             self._windows.pop(call_id, None)
-            await close_body(body)
+            await close_stream(body)
 
     def take_body_message(
         self,
--- a/lycheespar/protocol/pending.py
+++ b/lycheespar/protocol/pending.py
@@ -173,11 +173,13 @@
 
 
 def _refusal(refused: Refused) -> RequestError:
-    return request_error(
+    error = request_error(
         refused.code,
         refused.detail,
         refused.retry_after_s,
     )
+    error.load = refused.load
+    return error
 
 
 def request(call: Call, clock_ms: int, *, attach_only: bool) -> Request:
