--- a/lycheespar/__main__.py
+++ b/lycheespar/__main__.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lycheespar import __version__
+from lycheespar.commands.operator_commands import OPERATOR_COMMANDS
 from lycheespar.errors import LycheesparError, SettingsError
 from lycheespar.protocol.version import PROTOCOL_VERSION
 
@@ -93,5 +94,9 @@
     click.echo(msgspec.json.encode(found) if as_json else __version__)
 
 
+for _command in OPERATOR_COMMANDS:
+    cli.add_command(_command)
+
+
 if __name__ == '__main__':
     cli()
--- /dev/null
+++ b/lycheespar/commands/api_client.py
@@ -0,0 +1,149 @@
+"""Client of the operators' API; tries one control host after the other."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any, Final, TypeVar
+
+import aiohttp
+import msgspec
+
+from lycheespar.configuration.changes import Command
+from lycheespar.configuration.model import Configuration
+from lycheespar.control.state import AcceptedChange
+from lycheespar.control.status import StatusReport
+from lycheespar.errors import (
+    ApiUnreachableError,
+    ChangeConflictError,
+    ChangeInvalidError,
+    ControlError,
+    NoQuorumError,
+    control_error,
+)
+
+# A control host tries for 10 s to have a change decided.
+REPLY_TIMEOUT_S: Final = 12
+CONNECT_TIMEOUT_S: Final = 2
+_OK: Final = 200
+
+Content = TypeVar('Content')
+
+
+class _Accepted(msgspec.Struct, frozen=True):
+    revision: int
+
+
+class _Problem(msgspec.Struct, frozen=True):
+    code: str = 'control'
+    detail: str = ''
+    problems: tuple[str, ...] = ()
+    revision: int = 0
+
+
+class ApiClient:
+    """Sends requests to the first control host that answers.
+
+    Parameters
+    ----------
+    urls : Iterable[str]
+        Base URLs of the control hosts' APIs.
+    """
+
+    def __init__(self, urls: Iterable[str]) -> None:
+        """Keep the URLs; a scheme is added where it lacks."""
+        self._urls = tuple(
+            url.rstrip('/') if '://' in url else f'http://{url}'
+            for url in urls
+        )
+
+    async def configuration(self) -> Configuration:
+        """Return the current configuration."""
+        return await self._get('/v1/configuration', Configuration)
+
+    async def history(self) -> list[AcceptedChange]:
+        """Return the latest accepted changes, oldest first."""
+        return await self._get('/v1/history', list[AcceptedChange])
+
+    async def status(self, revision: int | None = None) -> StatusReport:
+        """Return the state of the group, and how far a revision is in force."""
+        query = '' if revision is None else f'?revision={revision}'
+        return await self._get(f'/v1/status{query}', StatusReport)
+
+    async def change(self, command: Command) -> int:
+        """Send a change and return the revision that it made.
+
+        Raises
+        ------
+        ApiUnreachableError
+            No control host took the change; nothing was changed.
+        NoQuorumError
+            The outcome is unknown; the same change id may be sent again.
+        ChangeConflictError, ChangeInvalidError
+            The change was refused.
+        """
+        body = msgspec.json.encode(command)
+        reply = await self._ask('POST', '/v1/changes', body)
+        return msgspec.json.decode(reply, type=_Accepted).revision
+
+    async def _get(self, path: str, content_type: type[Content]) -> Content:
+        reply = await self._ask('GET', path, None)
+        return msgspec.json.decode(reply, type=content_type)
+
+    async def _ask(self, method: str, path: str, body: bytes | None) -> bytes:
+        """Try the control hosts in turn until one decides."""
+        failure: ControlError = ApiUnreachableError(
+            f'no control host answers at {", ".join(self._urls)}',
+        )
+        timeout = aiohttp.ClientTimeout(
+            REPLY_TIMEOUT_S,
+            sock_connect=CONNECT_TIMEOUT_S,
+        )
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for url in self._urls:
+                try:
+                    return await _send(session, method, url + path, body)
+                except ApiUnreachableError:
+                    continue
+                except NoQuorumError as error:
+                    failure = error
+        raise failure
+
+
+async def _send(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    body: bytes | None,
+) -> bytes:
+    try:
+        async with session.request(method, url, data=body) as response:
+            content = await response.read()
+    except aiohttp.ClientConnectorError as error:
+        raise ApiUnreachableError(str(error)) from error
+    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        raise NoQuorumError(
+            f"the answer of '{url}' was lost; the outcome is unknown",
+        ) from error
+    if response.status != _OK:
+        raise _error(content)
+    return content
+
+
+def _error(content: bytes) -> ControlError:
+    try:
+        problem = msgspec.json.decode(content, type=_Problem)
+    except msgspec.DecodeError:
+        return ControlError('the answer of the control host is no JSON')
+    match problem.code:
+        case ChangeConflictError.code:
+            return ChangeConflictError(problem.detail, problem.revision)
+        case ChangeInvalidError.code:
+            return ChangeInvalidError(problem.problems)
+        case code:
+            return control_error(code, problem.detail)
+
+
+def builtins_of(content: Any) -> Any:
+    """Return content as plain values that JSON can hold, in order."""
+    return msgspec.to_builtins(content, order='sorted')
--- /dev/null
+++ b/lycheespar/commands/operators.py
@@ -0,0 +1,219 @@
+"""What the operators' commands do."""
+
+from __future__ import annotations
+
+import asyncio
+import getpass
+import json
+import uuid
+from pathlib import Path
+from typing import Any, Final, TypeVar
+
+import click
+import json5
+import msgspec
+
+from lycheespar.commands.api_client import ApiClient, builtins_of
+from lycheespar.configuration.changes import (
+    Change,
+    Command,
+    PutTeam,
+    PutTemplate,
+)
+from lycheespar.configuration.model import Team, Template
+from lycheespar.control.status import StatusReport
+from lycheespar.errors import (
+    ChangeInvalidError,
+    ControlError,
+    NoQuorumError,
+    NotInForceError,
+    UnknownNameError,
+)
+
+POLL_S: Final = 0.2
+_INDENT: Final = 2
+
+Stored = TypeVar('Stored')
+
+
+class Options(msgspec.Struct, frozen=True):
+    """Options that the operators' commands share.
+
+    Attributes
+    ----------
+    api : tuple[str, ...]
+        Addresses of the control hosts' APIs.
+    as_json : bool
+        Whether to print JSON.
+    wait : bool
+        Whether to wait until the change is in force everywhere.
+    timeout_s : float
+        Longest time to wait, in seconds.
+    operator : str
+        Name for the history; empty for the login name.
+    change_id : str
+        Id of the change; empty for a new one.
+    base_revision : int
+        Revision against which the change is made; -1 for the current one.
+    """
+
+    api: tuple[str, ...]
+    as_json: bool = False
+    wait: bool = False
+    timeout_s: float = 15
+    operator: str = ''
+    change_id: str = ''
+    base_revision: int = -1
+
+
+def load_template(path: Path) -> PutTemplate:
+    """Read a template from a file of JSON with comments."""
+    return PutTemplate(_load(path, Template))
+
+
+def load_team(path: Path) -> PutTeam:
+    """Read a team's parameters from a file of JSON with comments."""
+    return PutTeam(_load(path, Team))
+
+
+def make_change(options: Options, change: Change) -> None:
+    """Make a change and print its revision and how far it is in force."""
+    asyncio.run(_make_change(options, change))
+
+
+def show_configuration(options: Options, table: str, name: str = '') -> None:
+    """Print the names in a table of the configuration, or one entry."""
+    client = ApiClient(options.api)
+    configuration = builtins_of(asyncio.run(client.configuration()))
+    entries: dict[str, Any] = configuration[table]
+    if name:
+        if name not in entries:
+            raise UnknownNameError(f"there is no '{name}' in {table}")
+        _print_json(entries[name])
+    elif options.as_json:
+        _print_json(entries)
+    else:
+        click.echo('\n'.join(entries) or f'no {table}')
+
+
+def show_status(options: Options, revision: int | None) -> None:
+    """Print the state of the group and how far a revision is in force."""
+    status = asyncio.run(ApiClient(options.api).status(revision))
+    if options.as_json:
+        _print_json(builtins_of(status))
+        return
+    current = 'current' if status.current else 'NOT surely current'
+    click.echo(f"host '{status.host}': {current}, term {status.term}")
+    click.echo(f"leader: {status.leader or 'unknown'}")
+    click.echo(f'voters: {", ".join(sorted(status.voters))}')
+    click.echo(f'accepted revision: {status.accepted}')
+    click.echo(f'data centres out: {_names(status.data_centres_out)}')
+    click.echo(f'targets out: {_names(status.targets_out)}')
+    click.echo(_progress(status))
+
+
+def show_history(options: Options) -> None:
+    """Print the latest accepted changes."""
+    history = asyncio.run(ApiClient(options.api).history())
+    if options.as_json:
+        _print_json(builtins_of(history))
+        return
+    for accepted in history:
+        command = accepted.command
+        change = builtins_of(command.change)
+        kind = change.pop('type')
+        named = change.get('name') or next(iter(change.values()))['name']
+        click.echo(
+            f'{accepted.revision} {command.operator} {kind} {named} '
+            + f'({command.change_id})',
+        )
+
+
+async def _make_change(options: Options, change: Change) -> None:
+    client = ApiClient(options.api)
+    base = options.base_revision
+    if base < 0:
+        base = (await client.configuration()).revision
+    command = Command(
+        options.change_id or uuid.uuid4().hex,
+        base,
+        options.operator or getpass.getuser(),
+        change,
+    )
+    try:
+        revision = await client.change(command)
+    except NoQuorumError as error:
+        raise NoQuorumError(
+            f'{error.detail}; to learn the outcome repeat the command with '
+            + f'--change-id {command.change_id} --base-revision {base}',
+        ) from error
+    if options.wait:
+        status = await _in_force(client, revision, options.timeout_s)
+    else:
+        status = await client.status(revision)
+    _print_change(options, command, status)
+
+
+async def _in_force(
+    client: ApiClient,
+    revision: int,
+    timeout_s: float,
+) -> StatusReport:
+    """Wait until a revision is in force at all nodes heard of lately."""
+    progress = 'no status yet'
+    try:
+        async with asyncio.timeout(timeout_s):
+            while True:
+                status = await client.status(revision)
+                if status.confirmed and not status.missing:
+                    return status
+                progress = _progress(status)
+                await asyncio.sleep(POLL_S)
+    except (TimeoutError, ControlError) as error:
+        raise NotInForceError(
+            f'revision {revision} is accepted; {progress}',
+        ) from error
+
+
+def _load(path: Path, stored_type: type[Stored]) -> Stored:
+    try:
+        given = json5.loads(path.read_text('utf-8'))
+        return msgspec.convert(given, stored_type)
+    except (OSError, ValueError) as error:
+        raise ChangeInvalidError((f'{path}: {error}',)) from error
+
+
+def _print_change(
+    options: Options,
+    command: Command,
+    status: StatusReport,
+) -> None:
+    if options.as_json:
+        _print_json(
+            {
+                'change_id': command.change_id,
+                'revision': status.revision,
+                'confirmed': status.confirmed,
+                'missing': status.missing,
+            },
+        )
+        return
+    click.echo(f'accepted as revision {status.revision}')
+    click.echo(_progress(status))
+
+
+def _progress(status: StatusReport) -> str:
+    reached = len(status.confirmed)
+    known = reached + len(status.missing)
+    line = f'revision {status.revision} in force at {reached} of {known} nodes'
+    if status.missing:
+        return f'{line}; not at {_names(status.missing)}'
+    return line
+
+
+def _names(names: tuple[str, ...]) -> str:
+    return ', '.join(names) or 'none'
+
+
+def _print_json(content: Any) -> None:
+    click.echo(json.dumps(content, indent=_INDENT))
--- a/lycheespar/control/leadership.py
+++ b/lycheespar/control/leadership.py
@@ -132,6 +132,7 @@
             self._append(BeginTerm())
             while self.leading and not self._lost_quorum():
                 await asyncio.sleep(self._timing.heartbeat_s)
+            log.warning('Term {} ends at this leader.', self._term)
         finally:
             for task in tasks:
                 task.cancel()
@@ -275,7 +276,6 @@
 
     def _resign(self) -> None:
         if self.leading:
-            log.warning('Term {} ends: no quorum follows.', self._term)
             self._replica.role = Role.follower
             self._replica.leader = ''
         self._replica.changed.notify()
--- a/lycheespar/control/status.py
+++ b/lycheespar/control/status.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from lycheespar.control.entries import Voters
-from lycheespar.control.host import ControlHost
+
+if TYPE_CHECKING:
+    from lycheespar.control.host import ControlHost
 
 
 class StatusReport(msgspec.Struct, frozen=True):
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -359,6 +359,27 @@
     status = 503
 
 
+class ApiUnreachableError(ControlError):
+    """No control host took the request; nothing was changed."""
+
+    code = 'api_unreachable'
+    exit_code = 7
+
+
+class NotInForceError(ControlError):
+    """An accepted change is not in force everywhere yet."""
+
+    code = 'not_in_force'
+    exit_code = 6
+
+
+class UnknownNameError(ControlError):
+    """There is no template or team of that name."""
+
+    code = 'unknown_name'
+    status = 404
+
+
 class OtherGroupError(ControlError):
     """The message belongs to another group of control hosts."""
 
--- /dev/null
+++ b/lycheespar/tests/control/group_tests.py
@@ -0,0 +1,251 @@
+"""Groups of control hosts under single faults."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from lycheespar.control.messages import Failure
+from lycheespar.control.peer_messages import Mark, RequestVote
+from lycheespar.errors import ChangeConflictError, ChangeInvalidError
+from lycheespar.tests.control.groups import TIMING, Hosts, command, until
+
+
+@pytest.fixture
+async def hosts(tmp_path: Path):
+    """Run three control hosts."""
+    planned = Hosts(tmp_path)
+    planned.start()
+    yield planned
+    planned.stop()
+
+
+async def _accept(hosts: Hosts, change_id: str) -> int:
+    leader = await hosts.ready()
+    base = (await leader.group.read()).revision
+    return await leader.group.submit(command(change_id, base))
+
+
+async def test_a_change_is_accepted_through_each_host(hosts):
+    await hosts.whole()
+    for revision, host in enumerate(hosts.all):
+        made = await host.group.submit(command(host.name, revision))
+        assert made == revision + 1
+
+
+async def test_of_two_changes_from_one_revision_one_is_accepted(hosts):
+    await hosts.whole()
+    outcomes = await asyncio.gather(
+        hosts.all[0].group.submit(command('one', 0)),
+        hosts.all[1].group.submit(command('two', 0)),
+        return_exceptions=True,
+    )
+    refused = [found for found in outcomes if found != 1]
+    assert len(refused) == 1
+    assert isinstance(refused[0], ChangeConflictError)
+    assert refused[0].revision == 1
+
+
+async def test_an_invalid_change_is_refused_before_it_is_proposed(hosts):
+    await hosts.whole()
+    before = hosts.leader.storage.last_index
+    with pytest.raises(ChangeInvalidError, match='name'):
+        await hosts.leader.group.submit(command('bad', 0, 'no name!'))
+    assert hosts.leader.storage.last_index == before
+
+
+async def test_a_resend_gets_its_first_outcome_after_crashes(hosts):
+    await hosts.whole()
+    for number in range(30):
+        await _accept(hosts, str(number))
+    with pytest.raises(ChangeConflictError):
+        await hosts.leader.group.submit(command('late', 3))
+    assert hosts.leader.storage.base_index
+    for host in hosts.all:
+        host.crash()
+    hosts.start()
+    leader = await hosts.ready()
+    assert await leader.group.submit(command('7', 7)) == 8
+    with pytest.raises(ChangeConflictError):
+        await leader.group.submit(command('late', 3))
+    assert (await leader.group.read()).revision == 30
+
+
+async def test_a_crash_of_the_leader_loses_nothing(hosts):
+    await hosts.whole()
+    for number in range(5):
+        assert await _accept(hosts, str(number)) == number + 1
+        (await hosts.ready()).crash()
+        for host in hosts.all:
+            if not host.running:
+                host.start()
+    leader = await hosts.ready()
+    assert (await leader.group.read()).revision == 5
+
+
+async def test_no_group_forms_while_a_host_is_away(tmp_path):
+    hosts = Hosts(tmp_path)
+    for host in hosts.all[:2]:
+        host.start()
+    await asyncio.sleep(TIMING.election_timeout_s * 4)
+    assert not any(host.group.state.group for host in hosts.running)
+    hosts.all[2].start()
+    await hosts.whole()
+    hosts.stop()
+
+
+async def test_two_empty_hosts_do_not_overrule_a_full_one(hosts):
+    await hosts.whole()
+    await _accept(hosts, 'kept')
+    await until(lambda: hosts.all[2].group.state.revision == 1)
+    for host in hosts.all[:2]:
+        host.lose_disk()
+    await asyncio.sleep(TIMING.election_timeout_s * 4)
+    assert hosts.leader is None
+    states = [host.group.state for host in hosts.all]
+    assert states[2].revision == 1
+    assert {state.group for state in states} == {states[2].group, ''}
+
+
+async def test_an_empty_disk_does_not_vote(hosts):
+    await hosts.whole()
+    await _accept(hosts, 'kept')
+    lost, candidate, other = hosts.all
+    for host in (candidate, other):
+        host.crash()
+    lost.lose_disk()
+    term = 1000
+    request = RequestVote(
+        '', term, candidate.name, 'disk', Mark(99, 99), Mark(), trial=False
+    )
+    reply = await lost.group.handle(request)
+    assert not reply.granted
+
+
+async def test_a_second_disk_may_be_lost_right_after_a_repair(hosts):
+    await hosts.whole()
+    for number in range(2 * len(hosts.all)):
+        assert await _accept(hosts, str(number)) == number + 1
+        lost = hosts.all[number % len(hosts.all)]
+        lost.lose_disk()
+        await until(lambda: lost.admitted)  # noqa: B023
+    leader = await hosts.ready()
+    assert (await leader.group.read()).revision == 6
+
+
+async def test_a_new_disk_votes_only_after_the_old_majority_agreed(hosts):
+    await hosts.whole()
+    lost = hosts.all[2]
+    hosts.all[0].crash()
+    lost.lose_disk()
+    await asyncio.sleep(TIMING.election_timeout_s * 4)
+    assert not lost.admitted
+    hosts.all[0].start()
+    await until(lambda: lost.admitted)
+
+
+async def test_a_cut_off_leader_resigns_and_its_stamp_ages(hosts):
+    await hosts.whole()
+    old = hosts.leader
+    hosts.network.isolate(old.name, old.others)
+    await until(lambda: hosts.leader not in {None, old})
+    await hosts.leader.group.submit(command('new', 0))
+    await until(lambda: not old.group.leading)
+    age_ms = old.group.stamp.age_ms
+    await asyncio.sleep(TIMING.election_timeout_s)
+    assert old.group.stamp.age_ms >= age_ms or not old.group.stamp.round
+    assert old.group.state.revision == 0
+    hosts.network.cuts.clear()
+    await until(lambda: old.group.state.revision == 1)
+
+
+async def test_a_host_back_from_a_cut_does_not_disturb_the_leader(hosts):
+    await hosts.whole()
+    away = next(host for host in hosts.all if host is not hosts.leader)
+    hosts.network.isolate(away.name, away.others)
+    term = hosts.leader.group.term
+    await asyncio.sleep(TIMING.election_timeout_s * 6)
+    hosts.network.cuts.clear()
+    await _accept(hosts, 'seen')
+    await until(lambda: away.group.state.revision == 1)
+    assert hosts.leader.group.term == term
+
+
+@pytest.mark.parametrize('deaf', [True, False])
+async def test_a_leader_with_a_one_way_link_is_replaced(hosts, deaf):
+    await hosts.whole()
+    old = hosts.leader
+    hosts.network.cuts |= {
+        (other, old.name) if deaf else (old.name, other)
+        for other in old.others
+    }
+    await until(lambda: hosts.leader not in {None, old})
+    await hosts.leader.group.submit(command('new', 0))
+
+
+async def test_a_follower_that_hears_nothing_shows_an_aging_stamp(hosts):
+    await hosts.whole()
+    deaf = next(host for host in hosts.all if host is not hosts.leader)
+    await until(lambda: deaf.group.stamp.round)
+    hosts.network.cuts |= {(other, deaf.name) for other in deaf.others}
+    limit_ms = TIMING.election_timeout_s * 4000
+    await until(lambda: deaf.group.stamp.age_ms > limit_ms)
+
+
+async def test_another_group_is_refused(hosts):
+    await hosts.whole()
+    host = hosts.all[0]
+    request = RequestVote(
+        'other', 1000, 'control-1', 'disk', Mark(99, 99), Mark(), trial=False
+    )
+    reply = await hosts.network.deliver('control-1', host.name, request)
+    assert isinstance(reply, Failure)
+    assert reply.code == 'other_group'
+
+
+async def test_a_host_far_behind_gets_the_state(hosts):
+    await hosts.whole()
+    away = next(host for host in hosts.all if host is not hosts.leader)
+    away.crash()
+    for number in range(60):
+        await _accept(hosts, str(number))
+    assert hosts.leader.storage.base_index > 20
+    away.start()
+    await until(lambda: away.group.state.revision == 60)
+
+
+@pytest.mark.parametrize('count', [1, 5, 7])
+async def test_groups_of_other_sizes_work(tmp_path, count):
+    hosts = Hosts(tmp_path, count)
+    hosts.start()
+    await hosts.whole()
+    for host in hosts.all[: (count - 1) // 2]:
+        host.crash()
+    assert await _accept(hosts, 'one') == 1
+    hosts.stop()
+
+
+async def test_a_replaced_disk_that_returns_does_not_vote(hosts, tmp_path):
+    await hosts.whole()
+    await _accept(hosts, 'first')
+    first, second, replaced = hosts.all
+    replaced.crash()
+    old = replaced.folder.rename(tmp_path / 'old')
+    replaced.start()
+    await until(lambda: replaced.admitted)
+    first.crash()
+    await _accept(hosts, 'kept by two')
+    second.crash()
+    replaced.crash()
+    replaced.folder.rename(tmp_path / 'new')
+    old.rename(replaced.folder)
+    replaced.start()
+    first.start()
+    await asyncio.sleep(TIMING.election_timeout_s * 6)
+    assert hosts.leader is None
+    second.start()
+    leader = await hosts.ready()
+    assert (await leader.group.read()).revision == 2
+    await until(lambda: replaced.admitted)
--- /dev/null
+++ b/lycheespar/tests/control/history_tests.py
@@ -0,0 +1,58 @@
+"""Concurrent changes and reads under faults, checked as one register."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from lycheespar.tests.control.faults import Faults
+from lycheespar.tests.control.groups import Hosts
+from lycheespar.tests.control.histories import Recorder, problems_of, settle
+
+OPERATORS = 4
+
+
+async def _run(folder: Path, seed: int, count: int, seconds: float) -> None:
+    hosts = Hosts(folder, count, seed, late_share=0.05)
+    recorder = Recorder(hosts, seed)
+    faults = Faults(hosts, seed)
+    hosts.start()
+    await hosts.whole()
+    tasks = [
+        asyncio.create_task(work)
+        for work in (
+            *(recorder.operate() for _ in range(OPERATORS)),
+            recorder.watch(),
+            faults.inject(),
+        )
+    ]
+    done, _ = await asyncio.wait(
+        tasks, timeout=seconds, return_when=asyncio.FIRST_COMPLETED
+    )
+    for task in tasks:
+        task.cancel()
+    for ended in done:
+        ended.result()
+    try:
+        final = await settle(hosts)
+    finally:
+        hosts.stop()
+    assert final.revision > 0
+    assert problems_of(recorder, final) == []
+
+
+@pytest.mark.parametrize('seed', range(1, 5))
+async def test_changes_are_linearizable_under_faults(tmp_path, seed):
+    await _run(tmp_path, seed, 3, 4)
+
+
+async def test_changes_are_linearizable_with_five_hosts(tmp_path):
+    await _run(tmp_path, 11, 5, 4)
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize('seed', range(100, 120))
+async def test_changes_stay_linearizable_for_longer(tmp_path, seed):
+    await _run(tmp_path, seed, 3 + 2 * (seed % 2), 20)
