--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,10 @@
 
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py
+	$(BIN)/python -m pytest -m binary
 
 docs: $(STAMP)
 	$(BIN)/mkdocs build --strict
+
+settings-page: $(STAMP)
+	$(BIN)/python -m tools.settings_page
--- a/lycheespar/commands/api_client.py
+++ b/lycheespar/commands/api_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Iterable
 from typing import Any, Final, TypeVar
 
@@ -53,8 +52,7 @@
     def __init__(self, urls: Iterable[str]) -> None:
         """Keep the URLs; a scheme is added where it lacks."""
         self._urls = tuple(
-            url.rstrip('/') if '://' in url else f'http://{url}'
-            for url in urls
+            url.rstrip('/') if '://' in url else f'http://{url}' for url in urls
         )
 
     async def configuration(self) -> Configuration:
@@ -119,15 +117,16 @@
     try:
         async with session.request(method, url, data=body) as response:
             content = await response.read()
+            accepted = response.status == _OK
     except aiohttp.ClientConnectorError as error:
         raise ApiUnreachableError(str(error)) from error
-    except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
         raise NoQuorumError(
             f"the answer of '{url}' was lost; the outcome is unknown",
         ) from error
-    if response.status != _OK:
-        raise _error(content)
-    return content
+    if accepted:
+        return content
+    raise _error(content)
 
 
 def _error(content: bytes) -> ControlError:
--- a/lycheespar/commands/operators.py
+++ b/lycheespar/commands/operators.py
@@ -104,7 +104,7 @@
         return
     current = 'current' if status.current else 'NOT surely current'
     click.echo(f"host '{status.host}': {current}, term {status.term}")
-    click.echo(f"leader: {status.leader or 'unknown'}")
+    click.echo(f'leader: {status.leader or "unknown"}')
     click.echo(f'voters: {", ".join(sorted(status.voters))}')
     click.echo(f'accepted revision: {status.accepted}')
     click.echo(f'data centres out: {_names(status.data_centres_out)}')
--- a/lycheespar/tests/control/__init__.py
+++ b/lycheespar/tests/control/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the control hosts."""
+"""Tests of the control hosts and of what follows them."""
--- a/lycheespar/tests/control/group_tests.py
+++ b/lycheespar/tests/control/group_tests.py
@@ -161,6 +161,18 @@
     await until(lambda: old.group.state.revision == 1)
 
 
+async def test_a_cut_off_leader_does_not_answer_reads(hosts):
+    await hosts.whole()
+    old = hosts.leader
+    hosts.network.isolate(old.name, old.others)
+    reading = asyncio.create_task(old.group.read())
+    await until(lambda: hosts.leader not in {None, old})
+    await hosts.leader.group.submit(command('new', 0))
+    assert not reading.done()
+    hosts.network.cuts.clear()
+    assert (await reading).revision == 1
+
+
 async def test_a_host_back_from_a_cut_does_not_disturb_the_leader(hosts):
     await hosts.whole()
     away = next(host for host in hosts.all if host is not hosts.leader)
@@ -178,8 +190,7 @@
     await hosts.whole()
     old = hosts.leader
     hosts.network.cuts |= {
-        (other, old.name) if deaf else (old.name, other)
-        for other in old.others
+        (other, old.name) if deaf else (old.name, other) for other in old.others
     }
     await until(lambda: hosts.leader not in {None, old})
     await hosts.leader.group.submit(command('new', 0))
@@ -236,7 +247,7 @@
     replaced.start()
     await until(lambda: replaced.admitted)
     first.crash()
-    await _accept(hosts, 'kept by two')
+    await _accept(hosts, 'kept-by-two')
     second.crash()
     replaced.crash()
     replaced.folder.rename(tmp_path / 'new')
--- a/lycheespar/tests/control/groups.py
+++ b/lycheespar/tests/control/groups.py
@@ -68,7 +68,9 @@
     def copy_late(self, source: str, host: str, request: PeerRequest) -> None:
         """Let some requests come a second time, long after the first."""
         if self.choose.random() < self._late_share:
-            task = asyncio.create_task(self._deliver_late(source, host, request))
+            task = asyncio.create_task(
+                self._deliver_late(source, host, request)
+            )
             self._late.add(task)
             task.add_done_callback(self._late.discard)
 
--- a/lycheespar/tests/control/histories.py
+++ b/lycheespar/tests/control/histories.py
@@ -103,9 +103,7 @@
 
     async def _change(self, base: int) -> None:
         change_id = str(next(self._serial))
-        operation = Operation(
-            self._loop.time(), change_id=change_id, base=base
-        )
+        operation = Operation(self._loop.time(), change_id=change_id, base=base)
         self.operations.append(operation)
         for _ in range(self._choose.choice((1, 2, 6))):
             outcome = await self._attempt(change_id, base)
@@ -146,9 +144,7 @@
 def _lost_or_doubled(
     operations: list[Operation], final: GroupState
 ) -> list[str]:
-    made = {
-        line.command.change_id: line.revision for line in final.history
-    }
+    made = {line.command.change_id: line.revision for line in final.history}
     found = []
     if len(made) != len(final.history) or len(made) != final.revision:
         found.append('a change took effect twice, or the history has gaps')
