Graceful stop and start of a node

Cause: a stopping node closed its port and its idle connections in one go, told callers nothing, and took its target for ready again with the target's next announcement. A starting node opened its port before it knew targets.

Change: GracefulStop announces the drain, serves callers by other targets for 1 s with 'Connection: close', closes the port so that no connection is reset (new handshakes are dropped by a socket filter while those under way are accepted), lets idle connections linger for 0.5 s, finishes requests and calls, then closes the channels once their bytes are sent. All bounded by drain_s.

Ruled out: closing the listening socket at once. Trial with 40 callers that open a new connection for each request: connections were reset.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import time
-from typing import Final
 
 import zmq.asyncio
 from loguru import logger
@@ -18,6 +17,7 @@
 from lycheespar.control.follower import ConfigurationFollower
 from lycheespar.control.link import ControlLink
 from lycheespar.control.messages import ControlReply
+from lycheespar.drain import GracefulStop, wait_until_current
 from lycheespar.ingress.server import IngressServer
 from lycheespar.membership.broadcast import BroadcastTable
 from lycheespar.membership.gossip import Gossip
@@ -31,10 +31,6 @@
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.api import AnnouncementApi
 
-DRAIN_POLL_S: Final = 0.05
-# Time for which other nodes may still send work after a drain was spread.
-DRAIN_SPREAD_S: Final = 1
-
 log = logger.bind(part='app')
 
 
@@ -113,25 +109,29 @@
         await self._gossip.start()
         await self._channels.start(settings.inner.host, settings.inner.port)
         await self._announcements.start(settings.announce)
+        await wait_until_current(
+            self._configuration,
+            self._members,
+            settings.stale_after_s,
+        )
         await self._ingress.start(settings.http)
         log.info("Node '{}' serves.", settings.name)
         await stopped.wait()
-        await self._drain()
+        await self._stop()
         follower.stop()
         await self._gossip.stop()
         context.destroy(linger=0)
         log.info("Node '{}' has stopped.", settings.name)
 
-    async def _drain(self) -> None:
-        """Finish what is under way; take nothing new."""
-        self._target.drain()
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + self._settings.drain_s
-        await asyncio.sleep(DRAIN_SPREAD_S)
-        while not self._executor.idle and loop.time() < deadline:
-            await asyncio.sleep(DRAIN_POLL_S)
-        await self._ingress.stop()
-        await self._channels.stop()
+    async def _stop(self) -> None:
+        """Finish what is under way, then close the request path."""
+        await GracefulStop(
+            self._target,
+            self._executor,
+            self._ingress,
+            self._channels,
+            self._settings.drain_s,
+        ).run()
         await self._pool.close()
         await self._executor.close()
         await self._announcements.stop()
--- a/lycheespar/ingress/answers.py
+++ b/lycheespar/ingress/answers.py
@@ -43,6 +43,8 @@
 async def respond(
     request: web.BaseRequest,
     answer: Answer,
+    *,
+    closing: bool = False,
 ) -> web.StreamResponse:
     """Send the target's answer on.
 
@@ -57,6 +59,8 @@
             body=answer.body,
         )
     response = web.StreamResponse(status=answer.status, headers=headers)
+    if closing:
+        response.force_close()
     await response.prepare(request)
     try:
         async for chunk in answer.body:
--- a/lycheespar/membership/view.py
+++ b/lycheespar/membership/view.py
@@ -31,6 +31,11 @@
         """All records."""
         return self._records.values()
 
+    @property
+    def has_targets(self) -> bool:
+        """Whether any target is known that takes work."""
+        return any(record.takes_work for record in self._records.values())
+
     def __len__(self) -> int:
         """Return the number of records."""
         return len(self._records)
--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator
+from typing import Final
 
 from lycheespar.errors import LycheesparError
 from lycheespar.protocol.body import BodyReceiver, SendWindow, split
@@ -16,6 +17,8 @@
     Message,
 )
 
+CLOSE_TIMEOUT_S: Final = 1
+
 
 class FrameConnection:
     """A TCP connection that carries frames and streamed bodies.
@@ -54,6 +57,14 @@
         """Close the connection."""
         self._writer.close()
 
+    async def wait_closed(self) -> None:
+        """Wait for a bounded time until the connection is closed."""
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._writer.wait_closed()
+        except OSError:
+            return
+
     def open_receiver(self, call_id: bytes) -> BodyReceiver:
         """Start to receive the streamed body of a call."""
         receiver = BodyReceiver(
--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -62,11 +62,13 @@
         self._server = await asyncio.start_server(self._serve, host, port)
 
     async def stop(self) -> None:
-        """Close the port and all channels."""
+        """Close the port and all channels, once their bytes are sent."""
         if self._server is not None:
             self._server.close()
-        for peer in tuple(self._peers):
+        peers = tuple(self._peers)
+        for peer in peers:
             peer.close()
+        await asyncio.gather(*(closed.wait_closed() for closed in peers))
 
     async def _serve(
         self,
@@ -112,6 +114,10 @@
         """Close the channel."""
         self._connection.close()
 
+    async def wait_closed(self) -> None:
+        """Wait until the channel is closed and its bytes are sent."""
+        await self._connection.wait_closed()
+
     async def run(self, reader: asyncio.StreamReader, hello: Hello) -> None:
         """Serve the channel until it ends; its calls are then cancelled."""
         self._connection.send(hello)
--- /dev/null
+++ b/lycheespar/tests/ingress/listener_tests.py
@@ -0,0 +1,63 @@
+"""Tests of closing a port under load."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from lycheespar.ingress.listener import open_listener, refuse_new
+
+REQUEST = b'hello'
+CALLERS = 40
+
+
+async def _echo(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    writer.write(await reader.readexactly(len(REQUEST)))
+    writer.close()
+
+
+async def _call(port: int) -> str:
+    """Send one request on a new connection; say how it ended."""
+    try:
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    except ConnectionRefusedError:
+        return 'refused'
+    except OSError:
+        return 'cut'
+    try:
+        writer.write(REQUEST)
+        return 'whole' if await reader.read() == REQUEST else 'cut'
+    except OSError:
+        return 'cut'
+    finally:
+        writer.close()
+
+
+async def _call_until_refused(port: int, ends: Counter[str]) -> None:
+    end = ''
+    while end != 'refused':
+        end = await _call(port)
+        ends[end] += 1
+
+
+async def test_a_port_that_closes_under_load_cuts_no_connection():
+    ends: Counter[str] = Counter()
+    for _ in range(3):
+        listener = open_listener('127.0.0.1', 0)
+        port = listener.getsockname()[1]
+        server = await asyncio.start_server(_echo, sock=listener)
+        callers = [
+            asyncio.create_task(_call_until_refused(port, ends))
+            for _ in range(CALLERS)
+        ]
+        wanted = ends['whole'] + 5 * CALLERS
+        while ends['whole'] < wanted:
+            await asyncio.sleep(0)
+        await refuse_new(listener)
+        server.close()
+        await asyncio.gather(*callers)
+    assert ends['refused'] == 3 * CALLERS
+    assert ends['cut'] == 0
