--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,7 @@
 
 docs: $(STAMP)
 	$(BIN)/mkdocs build --strict
+
+reference: $(STAMP)
+	$(BIN)/python -m tools.settings_page
+	$(BIN)/python -m tools.codes_page
--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import random
+import time
 from pathlib import Path
-from typing import Final
 
 import zmq.asyncio
 from loguru import logger
 
 from lycheespar.config.settings import ControlSettings
+from lycheespar.configuration.stamp import MS_PER_S
 from lycheespar.control.group import Group
 from lycheespar.control.link import LinkServer
 from lycheespar.control.messages import (
@@ -31,8 +32,6 @@
 from lycheespar.control.storage import Storage
 from lycheespar.errors import ControlError, NotCurrentError
 
-MS_PER_S: Final = 1000
-
 log = logger.bind(part='control')
 
 HostRequest = ControlRequest | PeerRequest
@@ -149,7 +148,9 @@
             There is nothing newer here, but there may be elsewhere.
         """
         self._progress.note(request.node, request.revision)
+        began_at = time.monotonic()
         await self.group.wait_beyond(request.revision, request.wait_s)
+        held_ms = (time.monotonic() - began_at) * MS_PER_S
         state = self.group.state
         if state.revision <= request.revision and not self.fresh:
             raise NotCurrentError
@@ -165,5 +166,11 @@
             return PullReply(
                 self.group.stamp,
                 configuration=state.configuration,
+                held_ms=held_ms,
             )
-        return PullReply(self.group.stamp, changes)
+        return PullReply(
+            self.group.stamp,
+            changes,
+            held_ms=held_ms,
+            base_revision=request.revision,
+        )
