--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -60,9 +60,6 @@
             auto_decompress=False,
             skip_auto_headers=_NOT_ADDED,
         )
-        # The library would send a request again whose connection breaks, also
-        # if it may not be repeated.
-        self._session._retry_connection = False  # noqa: SLF001
         self._under_way = 0
         self._retired = asyncio.Event()
 
@@ -125,7 +122,7 @@
             raise TargetGoneError(str(error)) from error
         except aiohttp.ClientPayloadError as error:
             raise TruncatedAnswerError(str(error)) from error
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, OSError, TargetLostError) as error:
             if streamed is not None and streamed.error is not None:
                 raise CallerLostError(str(streamed.error)) from error
             raise TargetLostError(str(error)) from error
--- a/lycheespar/telemetry/traces.py
+++ b/lycheespar/telemetry/traces.py
@@ -4,10 +4,11 @@
 
 import random
 import re
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Final
 
-from msgspec.structs import replace
 from opentelemetry import trace
 from opentelemetry.sdk.resources import SERVICE_NAME, Resource
 from opentelemetry.sdk.trace import TracerProvider
@@ -23,7 +24,7 @@
 from lycheespar.errors import RequestError
 
 EXPORT_PERIOD_MS: Final = 1000
-_HEADER: Final = 'traceparent'
+HEADER: Final = 'traceparent'
 # Version, trace id, parent id and flags; the lowest flag says "sampled".
 _SAMPLED: Final = re.compile(
     '[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-.[13579bdf]'
@@ -75,7 +76,7 @@
 
     def start(self, name: str, call: Call) -> trace.Span:
         """Start the span of one hop, a child of the call's span."""
-        context = _propagator.extract({_HEADER: call.traceparent})
+        context = _propagator.extract({HEADER: call.traceparent})
         attributes = {
             'service': call.service,
             'class': call.request_class,
@@ -94,11 +95,29 @@
     return bool(_SAMPLED.fullmatch(call.traceparent))
 
 
-def within(call: Call, span: trace.Span) -> Call:
-    """Return the call with a span as the parent of its next hops."""
+@contextmanager
+def spanned(hop: str, call: Call, tracer: Tracer) -> Iterator[trace.Span]:
+    """Run one hop of a call within a span, the parent of its next hops.
+
+    The call itself is kept, since other parts follow what becomes of it.
+    """
+    span = tracer.start(hop, call)
+    parent = call.traceparent
+    call.traceparent = _context_of(span)
+    try:
+        yield span
+    except RequestError as error:
+        span.set_attribute('code', error.code)
+        raise
+    finally:
+        call.traceparent = parent
+        span.end()
+
+
+def _context_of(span: trace.Span) -> str:
     carrier: dict[str, str] = {}
     _propagator.inject(carrier, trace.set_span_in_context(span))
-    return replace(call, traceparent=carrier[_HEADER])
+    return carrier[HEADER]
 
 
 class TracedDispatch:
@@ -123,15 +142,9 @@
         """Run a call; trace it if it is sampled."""
         if not self._tracer.samples(call):
             return await self._dispatch.dispatch(call)
-        span = self._tracer.start('ingress', call)
-        try:
-            answer = await self._dispatch.dispatch(within(call, span))
+        with spanned('ingress', call, self._tracer) as span:
+            answer = await self._dispatch.dispatch(call)
             span.set_attribute('status', answer.status)
-        except RequestError as error:
-            span.set_attribute('code', error.code)
-            raise
-        finally:
-            span.end()
         return answer
 
 
@@ -140,7 +153,7 @@
 
     Parameters
     ----------
-    name : str
+    hop : str
         Name of the hop.
     execution : Execution
         Runs the calls.
@@ -148,16 +161,16 @@
         Starts the spans.
     """
 
-    __slots__ = ('_execution', '_name', '_tracer')
+    __slots__ = ('_execution', '_hop', '_tracer')
 
     def __init__(
         self,
-        name: str,
+        hop: str,
         execution: Execution,
         tracer: Tracer,
     ) -> None:
         """Keep the parts."""
-        self._name = name
+        self._hop = hop
         self._execution = execution
         self._tracer = tracer
 
@@ -165,13 +178,7 @@
         """Run a call within a span, if it is traced."""
         if not is_traced(call):
             return await self._execution.execute(call)
-        span = self._tracer.start(self._name, call)
-        try:
-            answer = await self._execution.execute(within(call, span))
+        with spanned(self._hop, call, self._tracer) as span:
+            answer = await self._execution.execute(call)
             span.set_attribute('status', answer.status)
-        except RequestError as error:
-            span.set_attribute('code', error.code)
-            raise
-        finally:
-            span.end()
         return answer
--- a/lycheespar/tests/admission/calls.py
+++ b/lycheespar/tests/admission/calls.py
@@ -18,6 +18,7 @@
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import RequestError
 from lycheespar.targets.announcement import Announcement, LocalTarget
+from lycheespar.targets.client import TargetClient
 from standins.target import StandInTarget, TargetPlan
 
 LOAD_TIMEOUT_S: Final = 20
@@ -85,6 +86,7 @@
             self.view,
             'ijmuiden',
             float('inf'),
+            TargetClient,
         )
 
     async def start(self, **parameters: float) -> None:
