--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(BIN)/ruff check --fix .
 
 demo: $(STAMP)
-	$(BIN)/python -m demo --deployment $(DEPLOYMENT)
+	$(BIN)/python -m demo --deployment $(DEPLOYMENT) $(if $(TRACE),--trace)
 
 bench: $(STAMP)
 	$(BIN)/python -m bench
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -17,10 +17,11 @@
     default='both',
     help='Which deployment runs.',
 )
-def main(deployment: str) -> None:
+@click.option('--trace', is_flag=True, help='Print the spans of one request.')
+def main(deployment: str, *, trace: bool) -> None:
     """Run a deployment and exit with 0 if no promise was broken."""
     names = DEPLOYMENTS if deployment == 'both' else (deployment,)
-    broken = sum(run(DEPLOYMENTS[name]) for name in names)
+    broken = sum(run(DEPLOYMENTS[name], traced=trace) for name in names)
     print('\nall promises held' if not broken else f'\n{broken} broken')
     sys.exit(1 if broken else 0)
 
--- a/demo/run.py
+++ b/demo/run.py
@@ -18,11 +18,11 @@
 from demo.callers import Callers, Record, table
 from demo.plan import Deployment
 from demo.relay import LinkPlan
+from demo.spans import print_spans, send_traced
 from standins.cluster import (
     Cluster,
     NodePlan,
     answers,
-    change,
     free_port,
     wait_until,
 )
@@ -32,6 +32,7 @@
 OUT_BOUND_S: Final = 5
 OUT_S: Final = 9
 BACK_S: Final = 4
+EXAMPLES: Final = Path(__file__).parents[1] / 'examples'
 
 
 class Demo:
@@ -43,11 +44,21 @@
         What runs.
     folder : Path
         Folder for settings, logs and data.
+    traced : bool
+        Whether one request is traced and its spans are printed.
     """
 
-    def __init__(self, deployment: Deployment, folder: Path) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        folder: Path,
+        *,
+        traced: bool,
+    ) -> None:
         """Plan all processes."""
         self._deployment = deployment
+        self._folder = folder
+        self._traced = traced
         self._cluster = Cluster(folder)
         self._links: list[LinkPlan] = []
         self._urls: list[str] = []
@@ -80,8 +91,12 @@
                 await self._configure(session)
                 await self._wait_ready(session)
                 await self._measure(session)
+                if self._traced:
+                    await send_traced(session, self._deployment, self._urls)
         finally:
             self._stop()
+        if self._traced:
+            print_spans(self._folder)
         for line in self._broken:
             print(f'BROKEN: {line}')
         return len(self._broken)
@@ -91,6 +106,8 @@
         node = self._cluster.add_node(name, centre, host)
         inner, http = free_port(host), free_port(host)
         node.settings['advertise_inner'] = f'{host}:{inner}'
+        if self._traced:
+            node.settings['trace_file'] = str(self._folder / f'{name}.spans')
         plan = self._deployment
         self._links.append(
             LinkPlan(
@@ -115,34 +132,28 @@
             self._relay.wait()
 
     async def _configure(self, session: aiohttp.ClientSession) -> None:
+        """Put the example's templates and team by the operators' commands."""
         api = self._cluster.api
         await wait_until(lambda: answers(session, f'{api}/v1/status', ''))
-        plan = self._deployment
-        for service in plan.services:
-            kinds = [
-                kind for kind in plan.kinds if kind.service == service.name
-            ]
-            routes = [
-                {
-                    'method': kind.method,
-                    'path_prefix': kind.path,
-                    'request_class': kind.name,
-                    'idempotent': not kind.keyed,
-                }
-                for kind in kinds
-            ]
-            template = {
-                'name': service.name,
-                'classes': {kind.name: {'weight': 1} for kind in kinds},
-                'routes': routes,
-            }
-            await change(session, api, 'put_template', template=template)
-        services = {
-            service.name: {'template': service.name}
-            for service in plan.services
-        }
-        team = {'name': plan.team, 'services': services}
-        await change(session, api, 'put_team', team=team)
+        example = EXAMPLES / self._deployment.team
+        for template in sorted(example.glob('template-*.json')):
+            await self._command('template', 'put', str(template))
+        await self._command('team', 'put', str(example / 'team.json'))
+
+    async def _command(self, *words: str) -> None:
+        """Run one of the operators' commands until it is in force."""
+        apis = (
+            word
+            for address in self._cluster.control_http.values()
+            for word in ('--api', f'http://{address}')
+        )
+        command = (*self._cluster.program, *words, '--wait', *apis)
+        started = await asyncio.create_subprocess_exec(
+            *command,
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        if await started.wait():
+            self._broken.append(f"the command '{' '.join(words)}' failed")
 
     async def _wait_ready(self, session: aiohttp.ClientSession) -> None:
         """Wait until each node has answered a request of each service."""
@@ -159,12 +170,12 @@
         running = asyncio.create_task(callers.run())
         await asyncio.sleep(STEADY_S)
         out_at = time.monotonic()
-        await self._operate(session, 'take_out_data_centre')
+        await self._command('take-out', 'data-centre', plan.leaves)
         await asyncio.sleep(OUT_BOUND_S)
         before = await self._work_in(session, plan.leaves)
         await asyncio.sleep(OUT_S - OUT_BOUND_S)
         late = await self._work_in(session, plan.leaves) - before
-        await self._operate(session, 'return_data_centre')
+        await self._command('return', 'data-centre', plan.leaves)
         back_at = time.monotonic()
         await asyncio.sleep(BACK_S)
         callers.stop()
@@ -173,11 +184,6 @@
         self._judge(callers.records, stats, late)
         self._print(callers.records, stats, late, (out_at, back_at))
 
-    async def _operate(self, session: aiohttp.ClientSession, kind: str) -> None:
-        await change(
-            session, self._cluster.api, kind, name=self._deployment.leaves
-        )
-
     async def _stats(
         self, session: aiohttp.ClientSession
     ) -> dict[str, dict[str, Any]]:
@@ -269,7 +275,7 @@
         print(f"new work at '{plan.leaves}' after {OUT_BOUND_S} s: {late}")
 
 
-def run(deployment: Deployment) -> int:
+def run(deployment: Deployment, *, traced: bool) -> int:
     """Run one deployment; return the number of broken promises."""
     with tempfile.TemporaryDirectory(prefix='lycheespar-') as folder:
-        return asyncio.run(Demo(deployment, Path(folder)).run())
+        return asyncio.run(Demo(deployment, Path(folder), traced=traced).run())
