Ingress: coded 400/413/508, continue, resets of cut answers, call depth

Cause: malformed requests got HTML without a code, bodies had no limit, callers that wait for 'continue' hung, compressed bodies were unpacked under their old header, a cut answer ended with an ordinary close, so that an HTTP/1.0 caller took it for whole, and calls in a circle never ended.

Ruled out: finding loops by Via; an ordinary close after a cut answer.

No limit on callers' connections yet.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -101,7 +101,11 @@
             ),
             self._configuration,
         )
-        self._ingress = IngressServer(self._configuration, self._router)
+        self._ingress = IngressServer(
+            self._configuration,
+            self._router,
+            settings.max_body_bytes,
+        )
         self._channels = ChannelServer(
             self._executor,
             lambda: self._executor.load,
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -137,6 +137,20 @@
     status = 400
 
 
+class BodyTooLargeError(RefusedError):
+    """The declared length of the request's body exceeds the limit."""
+
+    code = 'body_too_large'
+    status = 413
+
+
+class LoopDetectedError(RefusedError):
+    """The request stands below too many others, so calls run in a circle."""
+
+    code = 'loop_detected'
+    status = 508
+
+
 class UnknownServiceError(RefusedError):
     """No team has the service that the request names."""
 
@@ -273,6 +287,13 @@
     status = 400
 
 
+class BodyOverLimitError(OutcomeUnknownError):
+    """The request's body went past the limit while it was being sent on."""
+
+    code = 'body_over_limit'
+    status = 413
+
+
 class TruncatedAnswerError(OutcomeUnknownError):
     """The answer of the target ended before its declared length."""
 
--- a/lycheespar/ingress/answers.py
+++ b/lycheespar/ingress/answers.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 
 from lycheespar.call import Answer
-from lycheespar.errors import LycheesparError, RequestError
+from lycheespar.errors import RequestError
 
 PROBLEM_TYPE: Final = 'application/problem+json'
 CODE_HEADER: Final = 'X-Lycheespar-Code'
@@ -46,8 +46,10 @@
 ) -> web.StreamResponse:
     """Send the target's answer on.
 
-    A body that is cut ends the caller's connection, so that it can't be
-    taken for a whole one.
+    Raises
+    ------
+    RequestError
+        The body was cut after its head was sent.
     """
     headers = CIMultiDict(answer.headers)
     if isinstance(answer.body, bytes):
@@ -58,12 +60,7 @@
         )
     response = web.StreamResponse(status=answer.status, headers=headers)
     await response.prepare(request)
-    try:
-        async for chunk in answer.body:
-            await response.write(chunk)
-    except LycheesparError:
-        if request.transport is not None:
-            request.transport.abort()
-        return response
+    async for chunk in answer.body:
+        await response.write(chunk)
     await response.write_eof()
     return response
--- a/lycheespar/ingress/classify.py
+++ b/lycheespar/ingress/classify.py
@@ -13,8 +13,9 @@
 from lycheespar.configuration.model import DEFAULT_CLASS, Route, Service
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import BadRequestError, UnknownServiceError
-from lycheespar.protocol.body import CHUNK_BYTES, INLINE_BYTES
-from lycheespar.targets.headers import DEADLINE, end_to_end
+from lycheespar.ingress.body import read_body
+from lycheespar.ingress.headers import REQUEST_CLASS, call_depth, forwarded
+from lycheespar.targets.headers import DEADLINE
 
 IDEMPOTENCY_KEY: Final = 'Idempotency-Key'
 TRACEPARENT: Final = 'traceparent'
@@ -60,6 +61,7 @@
 async def classify(
     request: web.BaseRequest,
     configuration: ConfigurationView,
+    max_body_bytes: int,
 ) -> Call:
     """Build the call that a request asks for.
 
@@ -69,39 +71,50 @@
         There is no such service.
     BadRequestError
         A header can't be understood.
+    BodyTooLargeError
+        The body is longer than `max_body_bytes`.
+    LoopDetectedError
+        Too many calls are above this one.
     """
-    name = service_name(request.headers.get(hdrs.HOST, ''))
+    headers = request.headers
+    name = service_name(headers.get(hdrs.HOST, ''))
     service = configuration.services.get(name)
     if service is None:
         raise UnknownServiceError(name)
     route = find_route(service, request.method, request.raw_path)
-    body = await _body(request)
-    now = asyncio.get_running_loop().time()
+    depth = call_depth(headers)
+    request_class = _request_class(request, service, route, depth)
+    budget_s = _budget_ms(request, service, route) / MS_PER_S
+    deadline = asyncio.get_running_loop().time() + budget_s
+    body = await read_body(request, max_body_bytes)
     return Call(
         call_id=random.randbytes(_CALL_ID_BYTES),
         service=name,
         method=request.method,
         path=request.raw_path,
-        headers=end_to_end(request.headers.items()),
+        headers=forwarded(headers, request.remote, depth, request_class),
         body=body,
-        request_class=route.request_class or DEFAULT_CLASS,
-        weight=service.weight(route.request_class),
+        request_class=request_class,
+        weight=service.weight(request_class),
         idempotent=route.idempotent,
-        deadline=now + _budget_ms(request, service, route) / MS_PER_S,
-        idempotency_key=request.headers.get(IDEMPOTENCY_KEY, ''),
+        deadline=deadline,
+        idempotency_key=headers.get(IDEMPOTENCY_KEY, ''),
         fingerprint=_fingerprint(request, name, body),
-        traceparent=request.headers.get(TRACEPARENT, ''),
+        traceparent=headers.get(TRACEPARENT, ''),
     )
 
 
-async def _body(request: web.BaseRequest) -> Body:
-    """Read a small body whole; return an iterator of a larger one."""
-    if not request.body_exists:
-        return b''
-    length = request.content_length
-    if length is not None and length <= INLINE_BYTES:
-        return await request.read()
-    return aiter(request.content.iter_chunked(CHUNK_BYTES))
+def _request_class(
+    request: web.BaseRequest,
+    service: Service,
+    route: Route,
+    depth: int,
+) -> str:
+    """Return the class of a request; a deep one keeps that of its caller."""
+    inherited = request.headers.get(REQUEST_CLASS, '')
+    if depth and inherited in service.classes:
+        return inherited
+    return route.request_class or DEFAULT_CLASS
 
 
 def _budget_ms(
--- /dev/null
+++ b/lycheespar/tests/ingress/server_tests.py
@@ -0,0 +1,331 @@
+"""What callers see of the ingress, over raw connections."""
+
+from __future__ import annotations
+
+import asyncio
+import gzip
+import json
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from lycheespar.call import Answer, Call, Load
+from lycheespar.config.options import Address
+from lycheespar.configuration.model import (
+    Configuration,
+    RequestClass,
+    Team,
+    TeamService,
+    Template,
+)
+from lycheespar.configuration.view import ConfigurationView
+from lycheespar.errors import OverloadedError, TruncatedAnswerError
+from lycheespar.ingress.server import IngressServer
+from lycheespar.streams import GuardedStream
+
+LIMIT = 200_000
+HEAD = 'Host: certificates.vlotwacht\r\n'
+
+
+class FakeDispatch:
+    """Reads the body of each call and answers as a test says."""
+
+    def __init__(self) -> None:
+        """Answer with 200 and the length of the body."""
+        self.calls: list[Call] = []
+        self.bodies: list[bytes] = []
+        self.answer: Answer | Exception | None = None
+        self.cancelled = asyncio.Event()
+        self.blocked = False
+
+    async def dispatch(self, call: Call) -> Answer:
+        """Answer one call."""
+        self.calls.append(call)
+        if self.blocked:
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                self.cancelled.set()
+                raise
+        body = call.body
+        if not isinstance(body, bytes):
+            body = b''.join([chunk async for chunk in body])
+        self.bodies.append(body)
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        whole = f'got {len(body)}'.encode()
+        return self.answer or Answer(200, (), whole, Load())
+
+
+class Ingress:
+    """An ingress and raw connections to it."""
+
+    def __init__(self, dispatch: FakeDispatch) -> None:
+        """Serve one service."""
+        classes = {'urgent': RequestClass(4), 'bulk': RequestClass(1)}
+        team = Team('vlotwacht', {'certificates': TeamService('delivery')})
+        configuration = Configuration(
+            1,
+            {'delivery': Template('delivery', classes)},
+            {'vlotwacht': team},
+        )
+        self.dispatch = dispatch
+        self.server = IngressServer(
+            ConfigurationView(configuration),
+            dispatch,
+            LIMIT,
+        )
+
+    async def connect(self):
+        """Open a connection."""
+        return await asyncio.open_connection('127.0.0.1', self.server.port)
+
+    async def exchange(self, sent: bytes) -> bytes:
+        """Send bytes and return all that comes until the end."""
+        reader, writer = await self.connect()
+        writer.write(sent)
+        async with asyncio.timeout(10):
+            received = await reader.read()
+        writer.close()
+        return received
+
+
+@pytest.fixture
+async def ingress():
+    """Run an ingress in front of a fake dispatch."""
+    running = Ingress(FakeDispatch())
+    await running.server.start(Address('127.0.0.1', 0))
+    yield running
+    await running.server.stop()
+
+
+def _request(
+    line: str = 'GET /a HTTP/1.1',
+    headers: str = '',
+    body: bytes = b'',
+) -> bytes:
+    text = f'{line}\r\n{HEAD}Connection: close\r\n{headers}\r\n'
+    return text.encode() + body
+
+
+async def _chunks(*chunks: bytes, cut: bool = False):
+    for chunk in chunks:
+        yield chunk
+    if cut:
+        raise TruncatedAnswerError
+
+
+async def test_a_call_carries_what_the_target_needs(ingress):
+    headers = (
+        'X-Deadline-Ms: 150\r\nX-Call-Depth: 3\r\nX-Request-Class: urgent\r\n'
+        'Via: 1.0 other\r\nIdempotency-Key: k1\r\n'
+    )
+    await ingress.exchange(_request(headers=headers))
+    (call,) = ingress.dispatch.calls
+    sent = dict(call.headers)
+    assert sent['Host'] == 'certificates.vlotwacht'
+    assert sent['X-Call-Depth'] == '4'
+    assert sent['X-Request-Class'] == 'urgent'
+    assert sent['X-Forwarded-For'] == '127.0.0.1'
+    assert sent['Via'] == '1.0 other, 1.1 lycheespar'
+    assert 'Connection' not in sent
+    assert call.weight == 4
+    assert call.idempotency_key == 'k1'
+    assert call.deadline - asyncio.get_running_loop().time() < 0.15
+
+
+async def test_a_caller_at_the_top_does_not_choose_its_class(ingress):
+    await ingress.exchange(_request(headers='X-Request-Class: urgent\r\n'))
+    assert ingress.dispatch.calls[0].request_class == 'default'
+
+
+async def test_calls_in_a_circle_are_stopped(ingress):
+    received = await ingress.exchange(_request(headers='X-Call-Depth: 33\r\n'))
+    assert received.startswith(b'HTTP/1.1 508')
+    assert not ingress.dispatch.calls
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'nonsense\r\n\r\n',
+        b'GET /a HTTP/1.1\r\nConnection: close\r\n\r\n',
+        _request(headers='Content-Length: 3\r\nContent-Length: 4\r\n'),
+        _request(
+            'POST /a HTTP/1.1',
+            'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n',
+            b'0\r\n\r\n',
+        ),
+        _request('POST /a HTTP/1.1', 'Content-Length: -1\r\n'),
+        _request(headers='X-Deadline-Ms: soon\r\n'),
+        _request(headers='Bad Name: 1\r\n'),
+    ],
+)
+async def test_a_malformed_request_gets_a_coded_answer(ingress, sent):
+    received = await ingress.exchange(sent)
+    head, _, body = received.partition(b'\r\n\r\n')
+    assert b' 400 ' in head.split(b'\r\n')[0]
+    assert json.loads(body)['code'] == 'bad_request'
+    assert not ingress.dispatch.calls
+
+
+async def test_bad_chunks_are_never_a_whole_body(ingress):
+    sent = _request(
+        'POST /a HTTP/1.1',
+        'Transfer-Encoding: chunked\r\n',
+        b'5\r\nhello\r\nzz\r\n',
+    )
+    received = await ingress.exchange(sent)
+    assert b' 400 ' in received.split(b'\r\n')[0]
+    assert not ingress.dispatch.bodies
+
+
+async def test_a_body_over_the_limit_is_refused_unread(ingress):
+    sent = _request('POST /a HTTP/1.1', f'Content-Length: {LIMIT + 1}\r\n')
+    received = await ingress.exchange(sent)
+    assert received.startswith(b'HTTP/1.1 413')
+    assert b'not_run' in received
+    assert not ingress.dispatch.calls
+
+
+async def test_a_streamed_body_over_the_limit_is_cut(ingress):
+    chunk = b'x' * 60_000
+    framed = b'%x\r\n%b\r\n' % (len(chunk), chunk)
+    sent = _request(
+        'POST /a HTTP/1.1',
+        'Transfer-Encoding: chunked\r\n',
+        framed * 4 + b'0\r\n\r\n',
+    )
+    received = await ingress.exchange(sent)
+    assert received.startswith(b'HTTP/1.1 413')
+    assert b'"unknown"' in received
+    assert not ingress.dispatch.bodies
+
+
+@pytest.mark.parametrize('length', [5, 100_000])
+async def test_a_caller_that_waits_for_continue_is_invited(ingress, length):
+    reader, writer = await ingress.connect()
+    headers = f'Content-Length: {length}\r\nExpect: 100-continue\r\n'
+    writer.write(_request('POST /a HTTP/1.1', headers))
+    async with asyncio.timeout(10):
+        assert await reader.readline() == b'HTTP/1.1 100 Continue\r\n'
+        writer.write(b'x' * length)
+        received = await reader.read()
+    writer.close()
+    assert received.endswith(f'got {length}'.encode())
+
+
+async def test_a_compressed_body_stays_as_it_is(ingress):
+    body = gzip.compress(b'hello')
+    headers = f'Content-Encoding: gzip\r\nContent-Length: {len(body)}\r\n'
+    await ingress.exchange(_request('POST /a HTTP/1.1', headers, body))
+    assert ingress.dispatch.bodies == [body]
+
+
+async def test_the_answer_to_head_keeps_its_length(ingress):
+    ingress.dispatch.answer = Answer(
+        200,
+        (('Content-Length', '5000'),),
+        b'',
+        Load(),
+    )
+    received = await ingress.exchange(_request('HEAD /a HTTP/1.1'))
+    assert b'Content-Length: 5000\r\n' in received
+    assert received.endswith(b'\r\n\r\n')
+
+
+@pytest.mark.parametrize('status', [204, 304])
+async def test_an_answer_without_a_body_has_none(ingress, status):
+    ingress.dispatch.answer = Answer(status, (('ETag', '"1"'),), b'', Load())
+    received = await ingress.exchange(_request())
+    assert received.startswith(f'HTTP/1.1 {status}'.encode())
+    assert b'ETag: "1"\r\n' in received
+    assert received.endswith(b'\r\n\r\n')
+    assert b'Transfer-Encoding' not in received
+
+
+async def test_an_old_caller_gets_its_answer_up_to_the_end(ingress):
+    ingress.dispatch.answer = Answer(200, (), _chunks(b'a', b'b'), Load())
+    sent = f'GET /a HTTP/1.0\r\n{HEAD}\r\n'.encode()
+    received = await ingress.exchange(sent)
+    assert received.endswith(b'\r\n\r\nab')
+    assert b'Transfer-Encoding' not in received
+
+
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+@pytest.mark.parametrize('headers', [(), (('Content-Length', '4'),)])
+async def test_a_cut_answer_resets_the_connection(ingress, version, headers):
+    cut = _chunks(b'a', b'b', cut=True)
+    ingress.dispatch.answer = Answer(200, headers, cut, Load())
+    reader, writer = await ingress.connect()
+    writer.write(f'GET /a HTTP/{version}\r\n{HEAD}\r\n'.encode())
+    async with asyncio.timeout(10):
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+    writer.close()
+
+
+async def test_a_caller_that_leaves_cancels_its_call(ingress):
+    ingress.dispatch.blocked = True
+    _, writer = await ingress.connect()
+    writer.write(_request())
+    while not ingress.dispatch.calls:
+        await asyncio.sleep(0.01)
+    writer.close()
+    async with asyncio.timeout(10):
+        await ingress.dispatch.cancelled.wait()
+
+
+async def test_a_caller_that_stops_reading_holds_the_answer_back(ingress):
+    taken: list[int] = []
+    released = asyncio.Event()
+
+    async def endless():
+        for index in range(10_000):
+            taken.append(index)
+            yield b'x' * 65536
+
+    body = GuardedStream(endless(), lambda _: released.set())
+    ingress.dispatch.answer = Answer(200, (), body, Load())
+    _, writer = await ingress.connect()
+    writer.transport.pause_reading()
+    writer.write(_request())
+    count = -1
+    while count != len(taken) or not taken:
+        count = len(taken)
+        await asyncio.sleep(0.2)
+    assert len(taken) < 400
+    writer.transport.abort()
+    async with asyncio.timeout(10):
+        await released.wait()
+
+
+async def test_a_refusal_says_when_to_come_back(ingress):
+    ingress.dispatch.answer = OverloadedError(retry_after_s=2.4)
+    received = await ingress.exchange(_request())
+    assert received.startswith(b'HTTP/1.1 503')
+    assert b'Retry-After: 3\r\n' in received
+
+
+@settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(noise=st.binary(max_size=200))
+def test_noise_is_never_a_call(noise):
+    async def attempt() -> None:
+        ingress = Ingress(FakeDispatch())
+        await ingress.server.start(Address('127.0.0.1', 0))
+        reader, writer = await ingress.connect()
+        writer.write(noise + b'\r\n\r\n')
+        writer.write_eof()
+        async with asyncio.timeout(10):
+            await reader.read()
+        writer.close()
+        await ingress.server.stop()
+        assert not ingress.dispatch.calls
+
+    asyncio.run(attempt())
