--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-from typing import Any, Final
+from typing import Final
 
 import aiohttp
 from aiohttp import hdrs
@@ -19,6 +18,7 @@
     TruncatedAnswerError,
 )
 from lycheespar.protocol.body import INLINE_BYTES
+from lycheespar.protocol.sockets import tuned_socket
 from lycheespar.targets.announcement import Announcement
 from lycheespar.targets.body import RequestBody, ResponseBody
 from lycheespar.targets.headers import end_to_end, with_deadline
@@ -29,15 +29,7 @@
 IDLE_S: Final = 4
 # Time without a byte of a body after which its connection is given up.
 STALL_S: Final = 20
-UNACKNOWLEDGED_MS: Final = 1000
 MS_PER_S: Final = 1000
-_KEEPALIVE_OPTIONS: Final = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-)
 _NOT_ADDED: Final = (hdrs.ACCEPT, hdrs.ACCEPT_ENCODING, hdrs.USER_AGENT)
 _EMPTY_STATUSES: Final = frozenset((204, 304))
 
@@ -61,8 +53,9 @@
                 limit=announcement.connections,
                 use_dns_cache=False,
                 keepalive_timeout=IDLE_S,
-                socket_factory=_open_socket,
+                socket_factory=tuned_socket,
             ),
+            middlewares=(_never_resend,),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=_NOT_ADDED,
@@ -169,6 +162,28 @@
             self._retired.clear()
 
 
+async def _never_resend(
+    request: aiohttp.ClientRequest,
+    handler: aiohttp.ClientHandlerType,
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending a request again.
+
+    It would do so by the HTTP method alone when a pooled connection breaks,
+    so that a request which may not be repeated could run twice.
+
+    Raises
+    ------
+    TargetLostError
+        The connection broke after the request may have been sent.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise TargetLostError(str(error)) from error
+
+
 async def _read_small(call: Call, response: aiohttp.ClientResponse) -> Body:
     """Read a small body whole; return an iterator of a larger one."""
     length = response.content_length
@@ -176,12 +191,3 @@
     if empty or (length is not None and length <= INLINE_BYTES):
         return await response.read()
     return ResponseBody(response)
-
-
-def _open_socket(info: Any) -> socket.socket:
-    """Open a socket that finds out when its peer is gone."""
-    sock = socket.socket(*info[:3])
-    for level, option, setting in _KEEPALIVE_OPTIONS:
-        sock.setsockopt(level, option, setting)
-    sock.setblocking(False)
-    return sock
