--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -9,16 +9,21 @@
 from aiohttp import web
 from loguru import logger
 
-from lycheespar.call import Dispatch
+from lycheespar.call import Answer, Dispatch
 from lycheespar.config.options import Address
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import InternalRequestError, RequestError
 from lycheespar.ingress.answers import problem, respond
+from lycheespar.ingress.body import CallerBody
 from lycheespar.ingress.classify import classify
+from lycheespar.ingress.connection import CallerServer, reset
 from lycheespar.ingress.listener import open_listener, refuse_new
+from lycheespar.streams import close_stream
 
 KEEPALIVE_S: Final = 75
 POLL_S: Final = 0.02
+# Time for which the rest of a refused body is read and dropped.
+LINGER_S: Final = 2
 # Time in which the last answers are written to their connections.
 SHUTDOWN_TIMEOUT_S: Final = 1
 
@@ -34,6 +39,8 @@
         Services and their routes.
     dispatch : Dispatch
         Runs the calls.
+    max_body_bytes : int
+        Largest body of a request in bytes.
     """
 
     __slots__ = (
@@ -41,6 +48,7 @@
         '_dispatch',
         '_draining',
         '_listener',
+        '_max_body_bytes',
         '_runner',
         '_server',
         '_under_way',
@@ -50,16 +58,20 @@
         self,
         configuration: ConfigurationView,
         dispatch: Dispatch,
+        max_body_bytes: int,
     ) -> None:
         """Keep the parts; `start` opens the port."""
         self._configuration = configuration
         self._dispatch = dispatch
+        self._max_body_bytes = max_body_bytes
         self._draining = False
         self._under_way = 0
         self._listener: socket.socket | None = None
-        self._server = web.Server(
+        self._server = CallerServer(
             self._handle,
             handler_cancellation=True,
+            auto_decompress=False,
+            lingering_time=LINGER_S,
             keepalive_timeout=KEEPALIVE_S,
             access_log=None,
         )
@@ -68,6 +80,11 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
 
+    @property
+    def port(self) -> int:
+        """Port on which it listens."""
+        return int(self._runner.addresses[0][1])
+
     async def start(self, address: Address) -> None:
         """Listen on an address."""
         await self._runner.setup()
@@ -118,11 +135,31 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
-            call = await classify(request, self._configuration)
-            answer = await self._dispatch.dispatch(call)
+            answer = await self._run(request)
         except RequestError as error:
             return problem(error)
         except Exception as error:  # a bug must not cost the connection
             log.exception('A request failed.')
             return problem(InternalRequestError(str(error)))
-        return await respond(request, answer, closing=self._draining)
+        try:
+            return await respond(request, answer, closing=self._draining)
+        except RequestError as error:
+            log.debug("An answer was cut: '{}'.", error.code)
+            reset(request)
+            raise ConnectionResetError from error
+        finally:
+            await close_stream(answer.body)
+
+    async def _run(self, request: web.BaseRequest) -> Answer:
+        call = await classify(
+            request,
+            self._configuration,
+            self._max_body_bytes,
+        )
+        try:
+            return await self._dispatch.dispatch(call)
+        except RequestError as error:
+            body = call.body
+            if isinstance(body, CallerBody) and body.error is not None:
+                raise body.error from error
+            raise
