Combined faults from fixed seeds, judged by the callers' history

Found on the way: a gossip address whose IP number differs from the advertised one can't be reached or bound; the settings refuse it now. Ports of the stand-ins are taken below the range of outgoing connections and on an IP number of the test process's own: two runs side by side had taken each other's.

--- a/lycheespar/config/settings.py
+++ b/lycheespar/config/settings.py
@@ -78,6 +78,8 @@
 
     def contradictions(self) -> Iterator[str]:
         """Yield problems between the keys."""
+        if self.gossip.host != (self.advertise_inner or self.inner).host:
+            yield 'gossip: must have the IP number that other nodes use'
         if not self.control:
             yield 'control: names no control host'
         if self.trace_share and not self.trace_file:
--- a/lycheespar/tests/config/settings_tests.py
+++ b/lycheespar/tests/config/settings_tests.py
@@ -58,6 +58,8 @@
 
 def test_keys_that_contradict_each_other_are_named(snapshot):
     assert _problems(NodeSettings, NODE | {'trace_share': 1}) == snapshot
+    given = NODE | {'advertise_inner': '127.0.0.2:1'}
+    assert _problems(NodeSettings, given) == snapshot
     given = CONTROL | {'name': 'control-9', 'heartbeat_s': 5}
     assert _problems(ControlSettings, given) == snapshot
 
--- /dev/null
+++ b/lycheespar/tests/whole/faults_tests.py
@@ -0,0 +1,41 @@
+"""Combined faults from fixed seeds, judged by the callers' history."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from lycheespar.tests.whole.faults import Deployment, broken_promises
+
+
+async def _run(folder: Path, seed: int, faults: int) -> Deployment:
+    deployment = Deployment(folder, seed)
+    async with aiohttp.ClientSession() as session:
+        try:
+            await deployment.start(session)
+            await deployment.run(session, faults)
+            await deployment.wait_healthy(session)
+            api = deployment.cluster.api
+            async with session.get(f'{api}/v1/configuration') as response:
+                revision = (await response.json())['revision']
+        finally:
+            await deployment.stop()
+    assert revision >= max(deployment.accepted)
+    return deployment
+
+
+@pytest.mark.parametrize('seed', range(3))
+async def test_nothing_breaks_under_combined_faults(tmp_path, seed):
+    deployment = await _run(tmp_path, seed, faults=6)
+    assert broken_promises(deployment) == []
+    assert any('whole' in sent.outcomes for sent in deployment.history)
+
+
+@pytest.mark.soak
+@pytest.mark.timeout(600)
+@pytest.mark.parametrize('seed', range(100, 110))
+async def test_nothing_breaks_under_faults_for_long(tmp_path, seed):
+    deployment = await _run(tmp_path, seed, faults=40)
+    assert broken_promises(deployment) == []
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -25,11 +25,28 @@
 POLL_S: Final = 0.05
 
 
+# Below the range from which the system takes ports of outgoing connections.
+PORTS: Final = range(10_000, 32_000)
+# An IP number of this process's own, so that tests in other processes can't
+# take the ports that it has chosen but not opened yet.
+_PID: Final = os.getpid()
+OWN_HOST: Final = (
+    f'127.{64 + _PID // 65536 % 64}.{_PID // 256 % 256}.{_PID % 256}'
+)
+
+_candidates = itertools.cycle(PORTS)
+
+
 def free_port(host: str, kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that is free now."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now, another one at each call."""
+    for port in itertools.islice(_candidates, len(PORTS)):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError('no port is free')
 
 
 class Process:
@@ -124,10 +141,10 @@
         self.processes: dict[str, Process] = {}
         names = [f'control-{index + 1}' for index in range(control_hosts)]
         self.control_peers = {
-            name: f'127.0.0.1:{free_port("127.0.0.1")}' for name in names
+            name: f'{OWN_HOST}:{free_port(OWN_HOST)}' for name in names
         }
         self.control_http = {
-            name: f'127.0.0.1:{free_port("127.0.0.1")}' for name in names
+            name: f'{OWN_HOST}:{free_port(OWN_HOST)}' for name in names
         }
         self.control_settings: dict[str, Any] = {}
         self.program: tuple[str, ...] = (sys.executable, '-m', 'lycheespar')
@@ -142,7 +159,7 @@
         self,
         name: str,
         data_centre: str,
-        host: str = '127.0.0.1',
+        host: str = OWN_HOST,
         **settings: Any,
     ) -> NodePlan:
         """Plan a node."""
--- a/standins/target.py
+++ b/standins/target.py
@@ -13,6 +13,8 @@
 import msgspec
 from aiohttp import web
 
+from standins.journal import Journal
+
 EXECUTION_HEADER: Final = 'X-Execution-Id'
 MS_PER_S: Final = 1000
 CHUNK: Final = b'x' * 16384
@@ -45,6 +47,8 @@
         Lease of its announcements in seconds.
     seed : int
         Seed of its random numbers.
+    journal : str
+        File that keeps what it has run; empty for none.
     """
 
     name: str
@@ -61,6 +65,7 @@
     cold_slots: int = 2
     lease_s: float = 3
     seed: int = 1
+    journal: str = ''
 
 
 class StandInTarget:
@@ -108,6 +113,7 @@
         self.phase = ''
         self.crash_paths: set[str] = set()
         self.on_crash: Any = None
+        self._journal = Journal(plan.journal)
         self._random = random.Random(plan.seed)
         self._incarnation = uuid.uuid4().hex
         self._cold_until = 0.0
@@ -228,6 +234,7 @@
     async def _work(self, request: web.BaseRequest) -> web.StreamResponse:
         execution = request.headers.get(EXECUTION_HEADER, '')
         self.executions[execution] += 1
+        self._journal.note('run', execution)
         if request.path in self.crash_paths and self.on_crash is not None:
             await self.on_crash()
         bears = self.plan.cold_slots if self.cold else self.plan.slots
@@ -256,6 +263,7 @@
             return web.Response(status=503, text='sheds', headers=headers)
         if self.running > bears:
             self.overruns += 1
+            self._journal.note('overrun', execution)
             return web.Response(status=500, text='overrun')
         while self.frozen:
             await asyncio.sleep(0.05)
