--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; run each module by name."""
--- a/lycheespar/tests/control/group_tests.py
+++ b/lycheespar/tests/control/group_tests.py
@@ -7,8 +7,11 @@
 
 import pytest
 
+from lycheespar.configuration.stamp import Stamp
 from lycheespar.control.messages import Failure
-from lycheespar.control.peer_messages import Mark, RequestVote
+from lycheespar.control.peer_messages import Mark, RequestVote, StampReply
+from lycheespar.control.relay import StampRelay
+from lycheespar.control.replica import Replica
 from lycheespar.errors import ChangeConflictError, ChangeInvalidError
 from lycheespar.tests.control.groups import TIMING, Hosts, command, until
 
@@ -137,12 +140,14 @@
 
 async def test_a_new_disk_votes_only_after_the_old_majority_agreed(hosts):
     await hosts.whole()
-    lost = hosts.all[2]
-    hosts.all[0].crash()
+    leader = await hosts.ready()
+    away, lost = (host for host in hosts.all if host is not leader)
+    away.crash()
     lost.lose_disk()
+    await until(lambda: lost.group.state.group)
     await asyncio.sleep(TIMING.election_timeout_s * 4)
     assert not lost.admitted
-    hosts.all[0].start()
+    away.start()
     await until(lambda: lost.admitted)
 
 
@@ -173,6 +178,40 @@
     assert (await reading).revision == 1
 
 
+async def test_a_member_with_a_leader_grants_no_trial_vote(hosts):
+    await hosts.whole()
+    host, other = (host for host in hosts.all if host is not hosts.leader)
+    request = RequestVote(
+        host.group.state.group,
+        host.group.term + 1,
+        other.name,
+        other.storage.identity.disk,
+        Mark(99, 99),
+        Mark(),
+        trial=True,
+    )
+    assert not (await host.group.handle(request)).granted
+
+
+async def test_a_stamp_is_as_old_as_the_question_for_it(hosts):
+    await hosts.whole()
+    host = next(host for host in hosts.all if host is not hosts.leader)
+    delay_s = 0.1
+
+    class SlowPeers:
+        async def ask(self, *_: object) -> StampReply:
+            await asyncio.sleep(delay_s)
+            return StampReply(Stamp(host.group.term, 0, 1_000_000, 0))
+
+    replica = Replica('observer', host.storage, 1000)
+    replica.leader = hosts.leader.name
+    relay = StampRelay(replica, SlowPeers(), TIMING)
+    asking = asyncio.create_task(relay.run())
+    await until(lambda: relay.stamp.round)
+    asking.cancel()
+    assert relay.stamp.age_ms >= delay_s * 1000
+
+
 async def test_a_host_back_from_a_cut_does_not_disturb_the_leader(hosts):
     await hosts.whole()
     away = next(host for host in hosts.all if host is not hosts.leader)
