Full disks of control hosts: votes keep working, the leader makes way

Cause: with a full disk no vote could be saved, so that a full leader that resigned left the group without one and the nodes without fresh stamps. Ruled out: two slots written in place, as a torn slot and a damaged one can't be told apart. Change: room for the next identity is reserved; followers say whether their disk has room; a full leader resigns only if a quorum of the others has some. Shown failing: before the change test_a_leader_with_a_full_disk_makes_room and test_full_disks_everywhere_refuse_with_a_code ended in no_quorum after 10 s. Conclusion: with all disks full the group refuses changes by its code and still issues stamps while its leader lives.

--- a/lycheespar/control/election.py
+++ b/lycheespar/control/election.py
@@ -68,7 +68,8 @@
         timeout_s = self._timing.election_timeout_s * self._choose.uniform(1, 2)
         while True:
             left_s = self._replica.heard_at + timeout_s - loop.time()
-            if left_s <= 0 and self._replica.may_vote:
+            able = self._replica.may_vote and self._replica.log.room
+            if left_s <= 0 and able:
                 return
             await asyncio.sleep(max(left_s, self._timing.heartbeat_s))
 
--- a/lycheespar/control/files.py
+++ b/lycheespar/control/files.py
@@ -52,14 +52,34 @@
         temporary.replace(path)
         sync_folder(path.parent)
     except OSError as error:
-        temporary.unlink(missing_ok=True)
+        raise storage_error(error) from error
+
+
+def reserve(path: Path, size: int) -> None:
+    """Reserve room for the next replacement of a file.
+
+    The replacement then works on a full disk too.
+
+    Parameters
+    ----------
+    path : Path
+        The file that will be replaced.
+    size : int
+        Bytes to reserve.
+    """
+    temporary = path.with_name(path.name + _TEMPORARY)
+    try:
+        _write_synced(temporary, bytes(size))
+    except OSError as error:
         raise storage_error(error) from error
 
 
 def _write_synced(path: Path, content: bytes) -> None:
-    opened = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    """Write over what the file holds, so that its blocks are used again."""
+    opened = os.open(path, os.O_WRONLY | os.O_CREAT, 0o600)
     try:
         write_all(opened, content)
+        os.ftruncate(opened, len(content))
         os.fsync(opened)
     finally:
         os.close(opened)
--- a/lycheespar/control/following.py
+++ b/lycheespar/control/following.py
@@ -102,4 +102,5 @@
             matched,
             index,
             self._replica.disk,
+            self._replica.log.room,
         )
--- a/lycheespar/control/group.py
+++ b/lycheespar/control/group.py
@@ -40,11 +40,14 @@
     NoQuorumError,
     NotLeaderError,
     StorageError,
+    StorageFullError,
     control_error,
 )
 
 # Longest time for a change or a read that needs a quorum.
 OPERATION_TIMEOUT_S: Final = 10
+# Leaders with a full disk after which a change is given up.
+FULL_LEADERS: Final = 3
 
 log = logger.bind(part='control')
 
@@ -257,9 +260,17 @@
             ) from error
 
     async def _ask_until_answered(self, request: PeerRequest) -> PeerReply:
+        """Ask again where it is known that another leader may do better."""
+        full = 0
         while True:
-            with suppress(NotLeaderError, LinkTimeoutError):
+            try:
                 return await self._ask_once(request)
+            except StorageFullError:
+                full += 1
+                if full == FULL_LEADERS:
+                    raise
+            except (NotLeaderError, LinkTimeoutError) as error:
+                log.debug('A leader is sought again: {}.', error.detail)
             await asyncio.sleep(self._timing.heartbeat_s)
 
     async def _ask_once(self, request: PeerRequest) -> PeerReply:
--- a/lycheespar/control/leadership.py
+++ b/lycheespar/control/leadership.py
@@ -22,10 +22,10 @@
 from lycheespar.control.peer_messages import AppendReply, PeerReply
 from lycheespar.control.peers import Peers, Timing
 from lycheespar.control.pulse import Pulse
-from lycheespar.control.quorum import NEVER, Voter, quorum_value
+from lycheespar.control.quorum import NEVER, Voter, has_quorum, quorum_value
 from lycheespar.control.replica import Replica, Role
 from lycheespar.control.state import CommandOutcome
-from lycheespar.errors import NotLeaderError, StorageError
+from lycheespar.errors import NotLeaderError, StorageFullError
 
 MS_PER_S: Final = 1000
 
@@ -154,8 +154,8 @@
             return known
         try:
             self._append(Proposal(command))
-        except StorageError:
-            self._resign()
+        except StorageFullError:
+            self._make_way()
             raise
         outcomes = self._replica.state.outcomes
         await self._until(lambda: command.change_id in outcomes)
@@ -178,6 +178,20 @@
             await self.confirmed.wait()
         return self._replica.state.index
 
+    def _make_way(self) -> None:
+        """Resign if a quorum of the others has room for changes.
+
+        Else a new leader could do no better, and this one still proves to
+        the nodes that their configuration is current.
+        """
+        with_room = [
+            member.voter
+            for member in self._followers
+            if member.room and member.acknowledged_at > self._started_at
+        ]
+        if has_quorum(self._replica.voter_sets, with_room):
+            self._resign()
+
     async def _until(self, condition: Condition) -> None:
         while not condition():
             if not self.leading:
@@ -219,8 +233,9 @@
         match reply:
             case AppendReply(term) if term > self._term:
                 self._replica.adopt(term)
-            case AppendReply(_, matched, index, disk):
+            case AppendReply(_, matched, index, disk, room):
                 member.disk = disk
+                member.room = room
                 member.acknowledged_at = sent_at
                 member.next_index = index + 1
                 member.matched = index if matched else 0
--- a/lycheespar/control/members.py
+++ b/lycheespar/control/members.py
@@ -29,9 +29,18 @@
         Id of its disk; empty before its first reply.
     acknowledged_at : float
         When the newest message that it acknowledged was sent.
+    room : bool
+        Whether its disk has room for changes.
     """
 
-    __slots__ = ('acknowledged_at', 'disk', 'host', 'matched', 'next_index')
+    __slots__ = (
+        'acknowledged_at',
+        'disk',
+        'host',
+        'matched',
+        'next_index',
+        'room',
+    )
 
     def __init__(self, host: str, next_index: int) -> None:
         """Start without a reply."""
@@ -40,6 +49,7 @@
         self.matched = 0
         self.disk = ''
         self.acknowledged_at = NEVER
+        self.room = False
 
     @property
     def voter(self) -> Voter:
--- a/lycheespar/control/peer_messages.py
+++ b/lycheespar/control/peer_messages.py
@@ -156,12 +156,15 @@
         Index up to which the logs are equal, and synced.
     disk : str
         Id of the follower's disk.
+    room : bool
+        Whether the follower's disk has room for changes.
     """
 
     term: int
     matched: bool
     index: int
     disk: str
+    room: bool = True
 
 
 class AskStamp(msgspec.Struct, frozen=True, tag='ask_stamp'):
--- a/lycheespar/control/storage.py
+++ b/lycheespar/control/storage.py
@@ -18,13 +18,14 @@
 from msgspec.structs import replace
 
 from lycheespar.control.entries import LogEntry
-from lycheespar.control.files import replace_file, storage_error
+from lycheespar.control.files import replace_file, reserve, storage_error
 from lycheespar.control.journal import Journal
 from lycheespar.control.records import encode_record, read_records
 from lycheespar.control.state import GroupState
 from lycheespar.errors import (
     StorageDamagedError,
     StorageError,
+    StorageFullError,
     StorageLockedError,
 )
 
@@ -32,6 +33,10 @@
 _IDENTITY: Final = 'identity'
 _SNAPSHOT: Final = 'snapshot'
 _LOG: Final = 'log'
+# Room kept for the next identity, so that votes need no free disk.
+_RESERVED_BYTES: Final = 4096
+# Free bytes below which a disk counts as full.
+_ROOM_BYTES: Final = 16 * 1024 * 1024
 
 Stored = TypeVar('Stored')
 
@@ -116,6 +121,12 @@
         entries = self._journal.entries
         return entries[-1].term if entries else self._base_term
 
+    @property
+    def room(self) -> bool:
+        """Whether the disk has room for many changes."""
+        found = os.statvfs(self._folder)
+        return found.f_bavail * found.f_frsize > _ROOM_BYTES
+
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry; None where it isn't held."""
         if index == self._base_index:
@@ -149,8 +160,13 @@
         if identity == self.identity:
             return
         content = encode_record(_encoder.encode(identity))
-        replace_file(self._folder / _IDENTITY, content)
+        path = self._folder / _IDENTITY
+        replace_file(path, content)
         self.identity = identity
+        try:
+            reserve(path, _RESERVED_BYTES)
+        except StorageFullError as error:
+            log.error('No room is left for the next vote: {}.', error.detail)
 
     def vote(self, term: int, candidate: str) -> None:
         """Save a newer term, and who got the vote in it."""
--- a/lycheespar/tests/control/group_tests.py
+++ b/lycheespar/tests/control/group_tests.py
@@ -3,16 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import fcntl
+import os
 from pathlib import Path
 
 import pytest
 
 from lycheespar.configuration.stamp import Stamp
+from lycheespar.control import files
 from lycheespar.control.messages import Failure
 from lycheespar.control.peer_messages import Mark, RequestVote, StampReply
 from lycheespar.control.relay import StampRelay
 from lycheespar.control.replica import Replica
-from lycheespar.errors import ChangeConflictError, ChangeInvalidError
+from lycheespar.control.storage import Storage
+from lycheespar.errors import (
+    ChangeConflictError,
+    ChangeInvalidError,
+    StorageFullError,
+)
 from lycheespar.tests.control.groups import TIMING, Hosts, command, until
 
 
@@ -244,6 +253,64 @@
     await until(lambda: deaf.group.stamp.age_ms > limit_ms)
 
 
+def _fill_disks(monkeypatch, full: set[str]) -> None:
+    """Let no file grow on the disks of the named hosts."""
+
+    def write(file: int, content: bytes) -> int:
+        name = Path(os.readlink(f'/proc/self/fd/{file}')).parent.name
+        appends = fcntl.fcntl(file, fcntl.F_GETFL) & os.O_APPEND
+        room = os.fstat(file).st_size - os.lseek(file, 0, os.SEEK_CUR)
+        if name in full and (appends or len(content) > room):
+            raise OSError(errno.ENOSPC, 'full')
+        return plain_write(file, content)
+
+    plain_write = os.write
+    monkeypatch.setattr(files.os, 'write', write)
+    monkeypatch.setattr(
+        Storage,
+        'room',
+        property(lambda found: found._folder.name not in full),
+    )
+
+
+async def test_a_leader_with_a_full_disk_makes_room(hosts, monkeypatch):
+    await hosts.whole()
+    full = hosts.leader
+    _fill_disks(monkeypatch, {full.name})
+    for revision in range(3):
+        await full.group.submit(command(str(revision), revision))
+    assert hosts.leader is not full
+    monkeypatch.undo()
+    await until(lambda: full.group.state.revision == 3)
+
+
+async def test_a_follower_with_a_full_disk_catches_up_later(hosts, monkeypatch):
+    await hosts.whole()
+    full = next(host for host in hosts.all if host is not hosts.leader)
+    _fill_disks(monkeypatch, {full.name})
+    await _accept(hosts, 'one')
+    assert full.storage.last_index < hosts.leader.storage.last_index
+    monkeypatch.undo()
+    await until(lambda: full.group.state.revision == 1)
+
+
+async def test_full_disks_everywhere_refuse_with_a_code(hosts, monkeypatch):
+    await hosts.whole()
+    await _accept(hosts, 'kept')
+    _fill_disks(monkeypatch, {host.name for host in hosts.all})
+    leader = hosts.leader
+    told = leader.group.stamp.round + 9
+    await until(lambda: leader.group.stamp.round > told)
+    with pytest.raises(StorageFullError):
+        await hosts.leader.group.submit(command('one', 1))
+    told = leader.group.stamp.round + 9
+    await until(lambda: leader.group.stamp.round > told)
+    monkeypatch.undo()
+    await hosts.whole()
+    assert {host.group.state.revision for host in hosts.all} == {1}
+    await _accept(hosts, 'after')
+
+
 async def test_another_group_is_refused(hosts):
     await hosts.whole()
     host = hosts.all[0]
