--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; run each module by name."""
+"""Benchmarks; each module runs by itself, ``make bench`` runs the path."""
--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -5,13 +5,14 @@
 import asyncio
 import random
 import time
+from functools import partial
 from pathlib import Path
-from typing import Final
 
 import zmq.asyncio
 from loguru import logger
 from msgspec.structs import replace
 
+from lycheespar.admission.duplicates import DuplicateCheck
 from lycheespar.admission.executor import Executor
 from lycheespar.config.settings import ControlSettings, NodeSettings
 from lycheespar.configuration.model import Configuration
@@ -20,6 +21,7 @@
 from lycheespar.control.link import ControlLink
 from lycheespar.control.messages import ControlReply
 from lycheespar.control.saved import SavedConfiguration
+from lycheespar.drain import GracefulStop, wait_until_current
 from lycheespar.ingress.server import IngressServer
 from lycheespar.membership.broadcast import BroadcastTable
 from lycheespar.membership.gossip import Gossip
@@ -27,15 +29,13 @@
 from lycheespar.membership.view import MembershipView
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
+from lycheespar.routing.attempts import Attempts
 from lycheespar.routing.picker import Picker
-from lycheespar.routing.pool import ChannelPool
 from lycheespar.routing.router import Router
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.api import AnnouncementApi
-
-DRAIN_POLL_S: Final = 0.05
-# Time for which other nodes may still send work after a drain was spread.
-DRAIN_SPREAD_S: Final = 1
+from lycheespar.telemetry.gauges import node_gauges
+from lycheespar.telemetry.parts import Telemetry
 
 log = logger.bind(part='app')
 
@@ -53,6 +53,7 @@
         """Build the parts."""
         self._settings = settings
         incarnation = time.time_ns()
+        self._telemetry = Telemetry(settings)
         self._target = LocalTarget()
         self._saved = (
             SavedConfiguration(Path(settings.data_folder))
@@ -87,64 +88,93 @@
             self._configuration,
             settings.data_centre,
             float('inf') if settings.serve_stale else settings.stale_after_s,
+            self._telemetry.connect,
         )
-        self._pool = ChannelPool(hello, settings.inner.host)
+        execution = self._telemetry.around_execution(self._executor)
+        self._pool = self._telemetry.pool(hello, settings.inner.host)
         self._router = Router(
-            settings.name,
-            self._members,
+            Attempts(
+                settings.name,
+                self._members,
+                self._configuration,
+                execution,
+                self._pool,
+                Picker(settings.data_centre, random.Random()),
+            ),
             self._configuration,
-            self._executor,
-            self._pool,
-            Picker(settings.data_centre, random.Random()),
         )
-        self._ingress = IngressServer(self._configuration, self._router)
+        self._ingress = IngressServer(
+            self._configuration,
+            self._telemetry.around_dispatch(self._router),
+        )
         self._channels = ChannelServer(
-            self._executor,
+            DuplicateCheck(execution),
             lambda: self._executor.load,
             hello,
         )
         self._announcements = AnnouncementApi(self._target)
         self._target.changes.subscribe(self._publish)
+        self._telemetry.add_gauges(
+            partial(
+                node_gauges,
+                self._executor,
+                self._configuration,
+                self._members,
+            ),
+        )
 
     async def run(self, stopped: asyncio.Event) -> None:
         """Serve until told to stop, then drain."""
-        settings = self._settings
         context = zmq.asyncio.Context()
+        follower = self._follow(context)
+        await self._start()
+        log.info("Node '{}' serves.", self._settings.name)
+        await stopped.wait()
+        await self._stop()
+        follower.stop()
+        context.destroy(linger=0)
+        log.info("Node '{}' has stopped.", self._settings.name)
+
+    def _follow(self, context: zmq.asyncio.Context) -> ConfigurationFollower:
+        """Begin to follow the configuration."""
+        control = self._settings.control.values()
         follower = ConfigurationFollower(
-            settings.name,
+            self._settings.name,
             self._configuration,
-            [
-                ControlLink(context, address, ControlReply)
-                for address in settings.control.values()
-            ],
+            [ControlLink(context, host, ControlReply) for host in control],
             self._saved,
         )
         follower.start()
+        return follower
+
+    async def _start(self) -> None:
+        """Join the other nodes, then open the port for callers."""
+        settings = self._settings
+        self._telemetry.start()
         await self._gossip.start()
         await self._channels.start(settings.inner.host, settings.inner.port)
         await self._announcements.start(settings.announce)
+        await wait_until_current(
+            self._configuration,
+            self._members,
+            settings.stale_after_s,
+        )
         await self._ingress.start(settings.http)
-        log.info("Node '{}' serves.", settings.name)
-        await stopped.wait()
-        await self._drain()
-        follower.stop()
-        await self._gossip.stop()
-        context.destroy(linger=0)
-        log.info("Node '{}' has stopped.", settings.name)
-
-    async def _drain(self) -> None:
-        """Finish what is under way; take nothing new."""
-        self._target.drain()
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + self._settings.drain_s
-        await asyncio.sleep(DRAIN_SPREAD_S)
-        while not self._executor.idle and loop.time() < deadline:
-            await asyncio.sleep(DRAIN_POLL_S)
-        await self._ingress.stop()
-        await self._channels.stop()
+
+    async def _stop(self) -> None:
+        """Finish what is under way, then close all ports."""
+        await GracefulStop(
+            self._target,
+            self._executor,
+            self._ingress,
+            self._channels,
+            self._settings.drain_s,
+        ).run()
         await self._pool.close()
         await self._executor.close()
         await self._announcements.stop()
+        await self._gossip.stop()
+        self._telemetry.stop()
 
     def _publish(self, announcement: Announcement | None) -> None:
         """Tell the other nodes about the local target."""
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -64,6 +64,8 @@
         Digest that is equal for requests that are alike.
     traceparent : str
         W3C trace context, empty for requests that are not traced.
+    started : bool
+        Whether the request may have been sent to a target; set just before.
     """
 
     call_id: bytes
@@ -79,6 +81,7 @@
     idempotency_key: str = ''
     fingerprint: bytes = b''
     traceparent: str = ''
+    started: bool = False
 
 
 class Answer(msgspec.Struct, gc=False):
