--- a/lycheespar/tests/control/group_tests.py
+++ b/lycheespar/tests/control/group_tests.py
@@ -3,13 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import fcntl
+import os
 from pathlib import Path
 
 import pytest
 
+from lycheespar.configuration.stamp import Stamp
+from lycheespar.control import files
 from lycheespar.control.messages import Failure
-from lycheespar.control.peer_messages import Mark, RequestVote
-from lycheespar.errors import ChangeConflictError, ChangeInvalidError
+from lycheespar.control.peer_messages import Mark, RequestVote, StampReply
+from lycheespar.control.relay import StampRelay
+from lycheespar.control.replica import Replica
+from lycheespar.control.storage import Storage
+from lycheespar.errors import (
+    ChangeConflictError,
+    ChangeInvalidError,
+    StorageFullError,
+)
 from lycheespar.tests.control.groups import TIMING, Hosts, command, until
 
 
@@ -137,12 +149,14 @@
 
 async def test_a_new_disk_votes_only_after_the_old_majority_agreed(hosts):
     await hosts.whole()
-    lost = hosts.all[2]
-    hosts.all[0].crash()
+    leader = await hosts.ready()
+    away, lost = (host for host in hosts.all if host is not leader)
+    away.crash()
     lost.lose_disk()
+    await until(lambda: lost.group.state.group)
     await asyncio.sleep(TIMING.election_timeout_s * 4)
     assert not lost.admitted
-    hosts.all[0].start()
+    away.start()
     await until(lambda: lost.admitted)
 
 
@@ -173,6 +187,40 @@
     assert (await reading).revision == 1
 
 
+async def test_a_member_with_a_leader_grants_no_trial_vote(hosts):
+    await hosts.whole()
+    host, other = (host for host in hosts.all if host is not hosts.leader)
+    request = RequestVote(
+        host.group.state.group,
+        host.group.term + 1,
+        other.name,
+        other.storage.identity.disk,
+        Mark(99, 99),
+        Mark(),
+        trial=True,
+    )
+    assert not (await host.group.handle(request)).granted
+
+
+async def test_a_stamp_is_as_old_as_the_question_for_it(hosts):
+    await hosts.whole()
+    host = next(host for host in hosts.all if host is not hosts.leader)
+    delay_s = 0.1
+
+    class SlowPeers:
+        async def ask(self, *_: object) -> StampReply:
+            await asyncio.sleep(delay_s)
+            return StampReply(Stamp(host.group.term, 0, 1_000_000, 0))
+
+    replica = Replica('observer', host.storage, 1000)
+    replica.leader = hosts.leader.name
+    relay = StampRelay(replica, SlowPeers(), TIMING)
+    asking = asyncio.create_task(relay.run())
+    await until(lambda: relay.stamp.round)
+    asking.cancel()
+    assert relay.stamp.age_ms >= delay_s * 1000
+
+
 async def test_a_host_back_from_a_cut_does_not_disturb_the_leader(hosts):
     await hosts.whole()
     away = next(host for host in hosts.all if host is not hosts.leader)
@@ -205,6 +253,64 @@
     await until(lambda: deaf.group.stamp.age_ms > limit_ms)
 
 
+def _fill_disks(monkeypatch, full: set[str]) -> None:
+    """Let no file grow on the disks of the named hosts."""
+
+    def write(file: int, content: bytes) -> int:
+        name = Path(os.readlink(f'/proc/self/fd/{file}')).parent.name
+        appends = fcntl.fcntl(file, fcntl.F_GETFL) & os.O_APPEND
+        room = os.fstat(file).st_size - os.lseek(file, 0, os.SEEK_CUR)
+        if name in full and (appends or len(content) > room):
+            raise OSError(errno.ENOSPC, 'full')
+        return plain_write(file, content)
+
+    plain_write = os.write
+    monkeypatch.setattr(files.os, 'write', write)
+    monkeypatch.setattr(
+        Storage,
+        'room',
+        property(lambda found: found._folder.name not in full),
+    )
+
+
+async def test_a_leader_with_a_full_disk_makes_room(hosts, monkeypatch):
+    await hosts.whole()
+    full = hosts.leader
+    _fill_disks(monkeypatch, {full.name})
+    for revision in range(3):
+        await full.group.submit(command(str(revision), revision))
+    assert hosts.leader is not full
+    monkeypatch.undo()
+    await until(lambda: full.group.state.revision == 3)
+
+
+async def test_a_follower_with_a_full_disk_catches_up_later(hosts, monkeypatch):
+    await hosts.whole()
+    full = next(host for host in hosts.all if host is not hosts.leader)
+    _fill_disks(monkeypatch, {full.name})
+    await _accept(hosts, 'one')
+    assert full.storage.last_index < hosts.leader.storage.last_index
+    monkeypatch.undo()
+    await until(lambda: full.group.state.revision == 1)
+
+
+async def test_full_disks_everywhere_refuse_with_a_code(hosts, monkeypatch):
+    await hosts.whole()
+    await _accept(hosts, 'kept')
+    _fill_disks(monkeypatch, {host.name for host in hosts.all})
+    leader = hosts.leader
+    told = leader.group.stamp.round + 9
+    await until(lambda: leader.group.stamp.round > told)
+    with pytest.raises(StorageFullError):
+        await hosts.leader.group.submit(command('one', 1))
+    told = leader.group.stamp.round + 9
+    await until(lambda: leader.group.stamp.round > told)
+    monkeypatch.undo()
+    await hosts.whole()
+    assert {host.group.state.revision for host in hosts.all} == {1}
+    await _accept(hosts, 'after')
+
+
 async def test_another_group_is_refused(hosts):
     await hosts.whole()
     host = hosts.all[0]
