--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the whole system and of its parts."""
--- a/lycheespar/tests/membership/gossip_tests.py
+++ b/lycheespar/tests/membership/gossip_tests.py
@@ -180,6 +180,30 @@
     run_virtual(scenario, seed)
 
 
+def test_a_node_that_was_frozen_brings_back_no_removed_node():
+    async def scenario(loop: VirtualLoop) -> None:
+        members = await start(NODES, filled=True)
+        ended, frozen = members.pop(), members[0]
+        await asyncio.sleep(2)
+        frozen.freeze()
+        ended.crash()
+        await asyncio.sleep(200)
+        revived: list[str] = []
+        for member in members[1:]:
+            member.view.changes.subscribe(
+                lambda record: (
+                    record.liveness is Liveness.alive
+                    and revived.append(record.node)
+                ),
+            )
+        assert ended.name in frozen.alive()
+        frozen.thaw()
+        await until(lambda: _all_know(members, _names(members)), 60)
+        assert ended.name not in revived
+
+    run_virtual(scenario)
+
+
 def test_a_fact_reaches_all_and_is_then_sent_no_more():
     async def scenario(loop: VirtualLoop) -> None:
         loop.network.loss = 0.05
--- a/lycheespar/tests/membership/members.py
+++ b/lycheespar/tests/membership/members.py
@@ -65,6 +65,16 @@
         self.gossip._detector.stop()
         self.gossip.endpoint.close()
 
+    def freeze(self) -> None:
+        """Stop to run, as by SIGSTOP; datagrams are lost."""
+        self.gossip._task.cancel()
+        self.gossip.endpoint._receive = lambda *_: None
+
+    def thaw(self) -> None:
+        """Run again."""
+        self.gossip.endpoint._receive = self.gossip._receive
+        self.gossip._task = asyncio.create_task(self.gossip._run())
+
     def fill(self, others: Iterable[Member]) -> None:
         """Know others from the start."""
         for other in others:
