--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import click
+from loguru import logger
 
 from bench.gossip_slopes import measure_gossip, measure_heal, measure_stamps
 
@@ -13,6 +14,7 @@
 @click.group()
 def cli() -> None:
     """Measure slopes."""
+    logger.remove()
 
 
 @cli.command()
--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -61,6 +61,7 @@
         )
         self._configuration = ConfigurationView(
             self._saved.load() if self._saved else Configuration(),
+            float('inf') if settings.serve_stale else settings.stale_after_s,
         )
         self._members = MembershipView()
         advertised = settings.advertise_inner or settings.inner
--- a/lycheespar/configuration/view.py
+++ b/lycheespar/configuration/view.py
@@ -28,6 +28,9 @@
     ----------
     configuration : Configuration
         Configuration to start with.
+    stale_after_s : float
+        Age in seconds past which the configuration is not current; infinite
+        where stale configurations are served.
     clock : Callable
         Clock in seconds that never goes back.
     """
@@ -41,6 +44,7 @@
         '_news',
         '_reported',
         '_services',
+        '_stale_after_s',
         '_stamp',
         '_stamped_at',
         '_subject',
@@ -49,9 +53,11 @@
     def __init__(
         self,
         configuration: Configuration,
+        stale_after_s: float = float('inf'),
         clock: Callable[[], float] = steady_time,
     ) -> None:
         """Start unconfirmed."""
+        self._stale_after_s = stale_after_s
         self._clock = clock
         self._configuration = configuration
         self._services = resolve(configuration)
@@ -103,6 +109,11 @@
         """Seconds since the configuration was known to be current."""
         return self._clock() - self._confirmed_at
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the configuration was known to be current not long ago."""
+        return self.age_s <= self._stale_after_s
+
     def now(self) -> float:
         """Return the present instant of the clock by which ages are told."""
         return self._clock()
--- a/lycheespar/control/link.py
+++ b/lycheespar/control/link.py
@@ -17,6 +17,8 @@
 
 HEARTBEAT_MS: Final = 500
 HEARTBEAT_TIMEOUT_MS: Final = 1500
+# Longest time for a connection to open, and for its handshake.
+OPEN_TIMEOUT_MS: Final = 1500
 RECONNECT_MS: Final = 50
 RECONNECT_MAX_MS: Final = 1000
 _SERIAL_BYTES: Final = 8
@@ -39,6 +41,8 @@
     socket.set(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
     socket.set(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
     socket.set(zmq.HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS)
+    socket.set(zmq.CONNECT_TIMEOUT, OPEN_TIMEOUT_MS)
+    socket.set(zmq.HANDSHAKE_IVL, OPEN_TIMEOUT_MS)
 
 
 class ControlLink(Generic[RequestType, ReplyType]):
--- a/lycheespar/ingress/classify.py
+++ b/lycheespar/ingress/classify.py
@@ -12,7 +12,11 @@
 from lycheespar.call import Body, Call
 from lycheespar.configuration.model import DEFAULT_CLASS, Route, Service
 from lycheespar.configuration.view import ConfigurationView
-from lycheespar.errors import BadRequestError, UnknownServiceError
+from lycheespar.errors import (
+    BadRequestError,
+    StaleConfigurationError,
+    UnknownServiceError,
+)
 from lycheespar.protocol.body import CHUNK_BYTES, INLINE_BYTES
 from lycheespar.targets.headers import DEADLINE, end_to_end
 
@@ -67,11 +71,16 @@
     ------
     UnknownServiceError
         There is no such service.
+    StaleConfigurationError
+        There may be such a service by now.
     BadRequestError
         A header can't be understood.
     """
     name = service_name(request.headers.get(hdrs.HOST, ''))
     service = configuration.services.get(name)
+    current = configuration.is_current
+    if service is None and not current:
+        raise StaleConfigurationError(f"'{name}' may be new")
     if service is None:
         raise UnknownServiceError(name)
     route = find_route(service, request.method, request.raw_path)
@@ -86,7 +95,8 @@
         body=body,
         request_class=route.request_class or DEFAULT_CLASS,
         weight=service.weight(route.request_class),
-        idempotent=route.idempotent,
+        # The route may have changed since the configuration was current.
+        idempotent=route.idempotent and current,
         deadline=now + _budget_ms(request, service, route) / MS_PER_S,
         idempotency_key=request.headers.get(IDEMPOTENCY_KEY, ''),
         fingerprint=_fingerprint(request, name, body),
