--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,6 +9,9 @@
 from loguru import logger
 
 from bench.gossip_slopes import measure_gossip, measure_heal, measure_stamps
+from bench.process_slopes import measure_processes
+from bench.pull_slopes import measure_pulls
+from bench.state_slopes import measure_state
 
 
 @click.group()
@@ -44,5 +47,27 @@
         click.echo(line)
 
 
+@cli.command()
+def state() -> None:
+    """Memory and encoding cost of full-size state in this process."""
+    for line in measure_state():
+        click.echo(line)
+
+
+@cli.command()
+def pulls() -> None:
+    """Cost of pulls at a control host, as real processes."""
+    for line in measure_pulls():
+        click.echo(line)
+
+
+@cli.command()
+@click.option('--nodes', multiple=True, type=int, default=(5, 20, 40))
+def processes(nodes: tuple[int, ...]) -> None:
+    """Cost of whole node processes at rest."""
+    for line in measure_processes(nodes):
+        click.echo(line)
+
+
 if __name__ == '__main__':
     cli()
