--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the whole system and of its parts."""
+"""Benchmarks; each module runs by itself, ``make bench`` runs the path."""
--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -159,6 +159,7 @@
         if client is None:
             raise TargetGoneError
         sent_at = _now()
+        call.started = True
         try:
             answer = await client.send(call, self.load)
         except (TargetGoneError, TargetLostError):
--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -12,6 +12,7 @@
 from loguru import logger
 from msgspec.structs import replace
 
+from lycheespar.admission.duplicates import DuplicateCheck
 from lycheespar.admission.executor import Executor
 from lycheespar.config.settings import ControlSettings, NodeSettings
 from lycheespar.configuration.model import Configuration
@@ -27,6 +28,7 @@
 from lycheespar.membership.view import MembershipView
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
+from lycheespar.routing.attempts import Attempts
 from lycheespar.routing.picker import Picker
 from lycheespar.routing.pool import ChannelPool
 from lycheespar.routing.router import Router
@@ -91,16 +93,19 @@
         )
         self._pool = ChannelPool(hello, settings.inner.host)
         self._router = Router(
-            settings.name,
-            self._members,
+            Attempts(
+                settings.name,
+                self._members,
+                self._configuration,
+                self._executor,
+                self._pool,
+                Picker(settings.data_centre, random.Random()),
+            ),
             self._configuration,
-            self._executor,
-            self._pool,
-            Picker(settings.data_centre, random.Random()),
         )
         self._ingress = IngressServer(self._configuration, self._router)
         self._channels = ChannelServer(
-            self._executor,
+            DuplicateCheck(self._executor),
             lambda: self._executor.load,
             hello,
         )
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -8,7 +8,10 @@
 from __future__ import annotations
 
 import enum
-from typing import ClassVar
+from typing import TYPE_CHECKING, ClassVar
+
+if TYPE_CHECKING:
+    from lycheespar.call import Load
 
 
 class Outcome(enum.StrEnum):
@@ -68,19 +71,42 @@
     code = 'frame_version'
 
 
+class BodySequenceError(ProtocolError):
+    """A part of a body is missing, repeated or exceeds the window."""
+
+    code = 'body_sequence'
+
+
 class ChannelError(LycheesparError):
     """A channel to another node can't be used."""
 
     code = 'channel'
 
 
-class ChannelClosedError(ChannelError):
+class ChannelLostError(ChannelError):
+    """The channel was lost while a call was under way.
+
+    Attributes
+    ----------
+    accepted : bool
+        Whether the other node had acknowledged the call.
+    """
+
+    code = 'channel_lost'
+
+    def __init__(self, detail: str = '', *, accepted: bool = False) -> None:
+        """Keep whether the call was acknowledged."""
+        super().__init__(detail)
+        self.accepted = accepted
+
+
+class ChannelClosedError(ChannelLostError):
     """The channel closed, by either side."""
 
     code = 'channel_closed'
 
 
-class ChannelSilentError(ChannelError):
+class ChannelSilentError(ChannelLostError):
     """The channel is open but its peer does not acknowledge."""
 
     code = 'channel_silent'
@@ -103,6 +129,8 @@
         Whether the request is known not to have run.
     retry_after_s : float
         Seconds after which the caller may come back.
+    load : Load | None
+        Load of the target that refused, where its node told it.
     """
 
     code = 'request'
@@ -114,6 +142,7 @@
         """Keep the detail and when to come back, in seconds."""
         super().__init__(detail)
         self.retry_after_s = retry_after_s
+        self.load: Load | None = None
 
 
 class RefusedError(RequestError):
@@ -374,6 +403,27 @@
     status = 503
 
 
+class ApiUnreachableError(ControlError):
+    """No control host took the request; nothing was changed."""
+
+    code = 'api_unreachable'
+    exit_code = 7
+
+
+class NotInForceError(ControlError):
+    """An accepted change is not in force everywhere yet."""
+
+    code = 'not_in_force'
+    exit_code = 6
+
+
+class UnknownNameError(ControlError):
+    """There is no template or team of that name."""
+
+    code = 'unknown_name'
+    status = 404
+
+
 class OtherGroupError(ControlError):
     """The message belongs to another group of control hosts."""
 
--- a/lycheespar/tests/control/__init__.py
+++ b/lycheespar/tests/control/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the replicated configuration."""
+"""Tests of the control hosts and of what follows them."""
