Gossip's budget of bytes proved; ports of tests out of the ephemeral range

Cause: test ports came from the range that the system gives to outgoing connections; under load a connection took one before its process started ('address already in use' in node-1.log of a failed path test, three failures in about ten runs at a load of 15 to 25). Ports now come from a block of the test's process below that range: four runs without a failure.

The budget of sent bytes is 6,000 a second with a burst of 32,000 (was 6,500 and 65,000). With the budget a thousand times as large, test_bytes_stay_within_the_budget_while_all_records_are_new printed 5265184 / 60 against 7000; with it, it passes.

Other mechanisms switched off on scratch copies: planned leave not sent ('not within the limit'), retransmissions not bounded ('assert not True'), round trip not added to a stamp's age ('0.206 >= 0.349').

--- a/lycheespar/membership/budget.py
+++ b/lycheespar/membership/budget.py
@@ -6,8 +6,8 @@
 
 # IP and UDP headers of each datagram.
 HEADER_BYTES: Final = 28
-SENT_BYTES_PER_S: Final = 6500
-BURST_BYTES: Final = 65_000
+SENT_BYTES_PER_S: Final = 6000
+BURST_BYTES: Final = 32_000
 
 
 class ByteBudget:
--- a/lycheespar/tests/membership/gossip_tests.py
+++ b/lycheespar/tests/membership/gossip_tests.py
@@ -241,6 +241,25 @@
     run_virtual(scenario)
 
 
+def test_bytes_stay_within_the_budget_while_all_records_are_new():
+    async def scenario(loop: VirtualLoop) -> None:
+        members = await start(20, filled=True)
+        tracker = members[0].gossip._tracker
+        own = members[0].gossip.own
+        for index in range(3000):
+            host = f'127.2.{index // 250}.{index % 250}'
+            fields = _fields(own, node=f'other-{index}', host=host)
+            tracker.take(type(own)(*fields))
+        await asyncio.sleep(20)
+        loop.network.sent_bytes.clear()
+        await asyncio.sleep(60)
+        for member in members:
+            sent = loop.network.sent_bytes[member.host, 7000]
+            assert sent / 60 < BUDGET_BYTES_PER_S / 2
+
+    run_virtual(scenario)
+
+
 @settings(max_examples=300, deadline=None)
 @given(some.binary(max_size=200))
 def test_any_bytes_are_decoded_or_dropped(payload):
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -25,11 +26,24 @@
 POLL_S: Final = 0.05
 
 
+# Ports below those that the system gives to outgoing connections, which could
+# take a port between its choice and the start of its process.
+_FIRST_PORT: Final = 10_000
+_PORTS_A_PROCESS: Final = 400
+_PORT_BLOCKS: Final = 55
+_offsets = itertools.cycle(range(_PORTS_A_PROCESS))
+
+
 def free_port(host: str, kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that is free now."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now, from this process's own block."""
+    first = _FIRST_PORT + os.getpid() % _PORT_BLOCKS * _PORTS_A_PROCESS
+    for offset in itertools.islice(_offsets, _PORTS_A_PROCESS):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            with contextlib.suppress(OSError):
+                sock.bind((host, first + offset))
+                return first + offset
+    raise RuntimeError('all ports of this process are in use')
 
 
 class Process:
