--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -96,13 +96,18 @@
         self._sweeper = asyncio.create_task(self._sweep())
 
     async def stop(self) -> None:
-        """Close the port and all channels; end what is under way."""
+        """Close the port and all channels, once their bytes are sent.
+
+        What is still under way is ended.
+        """
         if self._server is not None:
             self._server.close()
         if self._sweeper is not None:
             self._sweeper.cancel()
-        for peer in tuple(self._peers):
+        peers = tuple(self._peers)
+        for peer in peers:
             peer.close()
+        await asyncio.gather(*(closed.wait_closed() for closed in peers))
         await self._executions.close()
 
     async def _serve(
@@ -168,6 +173,10 @@
         """Close the channel at once."""
         self._connection.abort()
 
+    async def wait_closed(self) -> None:
+        """Wait until the channel is closed and its bytes are sent."""
+        await self._connection.wait_closed()
+
     async def run(self, reader: asyncio.StreamReader, hello: Hello) -> None:
         """Serve the channel until it ends; its calls are then detached."""
         self._connection.send(replace(hello, clock_ms=self._clock_ms()))
--- a/lycheespar/telemetry/parts.py
+++ b/lycheespar/telemetry/parts.py
@@ -11,6 +11,10 @@
 
 from lycheespar.call import Dispatch, Execution
 from lycheespar.config.settings import NodeSettings
+from lycheespar.protocol.messages import Hello
+from lycheespar.routing.pool import ChannelPool
+from lycheespar.targets.announcement import Announcement
+from lycheespar.targets.client import TargetClient
 
 if TYPE_CHECKING:
     from lycheespar.telemetry.metrics import Gauges, Metrics
@@ -69,6 +73,24 @@
 
         return TracedExecution(hop, execution, self._tracer)
 
+    def pool(self, hello: Hello, source: str) -> ChannelPool:
+        """Return a pool of channels, which trace if traces are on."""
+        if self._tracer is None:
+            return ChannelPool(hello, source)
+        from lycheespar.telemetry.hops import TracedPool  # noqa: PLC0415
+
+        return TracedPool(hello, source, self._tracer)
+
+    def connect(self, announcement: Announcement) -> TargetClient:
+        """Return a client of a target, which traces if traces are on."""
+        if self._tracer is None:
+            return TargetClient(announcement)
+        from lycheespar.telemetry.hops import (  # noqa: PLC0415
+            TracedTargetClient,
+        )
+
+        return TracedTargetClient(announcement, self._tracer)
+
     def add_gauges(self, source: Gauges) -> None:
         """Read gauges from a source before each batch."""
         if self._metrics is not None:
