Keyed requests: claims at a majority of the control hosts, recorded outcomes

Cause: a keyed request that may not be repeated ran again when it was resent through the same or another node. Change: write-once claims on the control hosts, KeyedDispatch in front of the router, records of attempts and executions, recall by the inner protocol.

--- /dev/null
+++ b/lycheespar/admission/recorded.py
@@ -0,0 +1,87 @@
+"""Execution of calls with an idempotency key at the local target."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lycheespar.admission.key_records import (
+    KeyRecord,
+    KeyRecords,
+    kept,
+    key_digest,
+    replay,
+    whole,
+)
+from lycheespar.call import Answer, Call, Execution
+from lycheespar.errors import (
+    OutcomeUnknownError,
+    OverloadedError,
+    RefusedError,
+    RequestError,
+)
+
+
+class RecordedExecution:
+    """Records the outcomes of calls with a key, and never runs a key again.
+
+    Parameters
+    ----------
+    execution : Execution
+        Runs the calls.
+    records : KeyRecords
+        Where the outcomes go.
+    retention_s : Callable[[str], float]
+        Time in seconds for which a service's outcomes are kept.
+    """
+
+    __slots__ = ('_execution', '_records', '_retention_s')
+
+    def __init__(
+        self,
+        execution: Execution,
+        records: KeyRecords,
+        retention_s: Callable[[str], float],
+    ) -> None:
+        """Keep the parts."""
+        self._execution = execution
+        self._records = records
+        self._retention_s = retention_s
+
+    async def execute(self, call: Call) -> Answer:
+        """Run a call.
+
+        Raises
+        ------
+        StillRunningError
+            A call with this key is running here.
+        OutcomeUnknownError
+            A call with this key ran here.
+        """
+        if call.idempotent or not call.idempotency_key:
+            return await self._execution.execute(call)
+        known = self._records.execution(key_digest(call))
+        if known is not None:
+            return replay(known, call)
+        if self._records.full:
+            raise OverloadedError('too many keys are remembered')
+        retention_s = self._retention_s(call.service)
+        record = self._records.begin(call, b'', retention_s)
+        return await self._record(call, record)
+
+    async def _record(self, call: Call, record: KeyRecord) -> Answer:
+        try:
+            answer = await whole(await self._execution.execute(call))
+        except RefusedError:
+            self._records.drop(record)
+            raise
+        except RequestError as error:
+            self._records.end(record, error)
+            raise
+        except BaseException:
+            if call.started:
+                self._records.end(record, OutcomeUnknownError('cancelled'))
+            else:
+                self._records.drop(record)
+            raise
+        self._records.end(record, kept(answer))
+        return answer
--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -14,12 +14,15 @@
 
 from lycheespar.admission.duplicates import DuplicateCheck
 from lycheespar.admission.executor import Executor
+from lycheespar.admission.key_records import KeyRecords
+from lycheespar.admission.recorded import RecordedExecution
 from lycheespar.config.settings import ControlSettings, NodeSettings
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.view import ConfigurationView
+from lycheespar.control.claims_quorum import ClaimQuorum
 from lycheespar.control.follower import ConfigurationFollower
 from lycheespar.control.link import ControlLink
-from lycheespar.control.messages import ControlReply
+from lycheespar.control.messages import ControlReply, ControlRequest
 from lycheespar.control.saved import SavedConfiguration
 from lycheespar.ingress.server import IngressServer
 from lycheespar.membership.broadcast import BroadcastTable
@@ -28,8 +31,10 @@
 from lycheespar.membership.view import MembershipView
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
+from lycheespar.routing.keyed import KeyedDispatch
 from lycheespar.routing.picker import Picker
 from lycheespar.routing.pool import ChannelPool
+from lycheespar.routing.recall import Recall
 from lycheespar.routing.router import Router
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.api import AnnouncementApi
@@ -89,20 +94,41 @@
             settings.data_centre,
             float('inf') if settings.serve_stale else settings.stale_after_s,
         )
+        self._links: list[ControlLink[ControlRequest, ControlReply]] = []
+        records = KeyRecords()
+        execution = RecordedExecution(
+            self._executor,
+            records,
+            self._configuration.key_retention_s,
+        )
         self._pool = ChannelPool(hello, settings.inner.host)
         self._router = Router(
             settings.name,
             self._members,
             self._configuration,
-            self._executor,
+            execution,
             self._pool,
             Picker(settings.data_centre, random.Random()),
         )
-        self._ingress = IngressServer(self._configuration, self._router)
+        self._keyed = KeyedDispatch(
+            self._router,
+            ClaimQuorum(lambda: self._links),
+            records,
+            Recall(
+                settings.name,
+                incarnation,
+                self._members,
+                self._pool,
+                records,
+            ),
+            self._configuration.key_retention_s,
+        )
+        self._ingress = IngressServer(self._configuration, self._keyed)
         self._channels = ChannelServer(
-            DuplicateCheck(self._executor),
+            DuplicateCheck(execution),
             lambda: self._executor.load,
             hello,
+            records,
         )
         self._announcements = AnnouncementApi(self._target)
         self._target.changes.subscribe(self._publish)
@@ -111,13 +137,14 @@
         """Serve until told to stop, then drain."""
         settings = self._settings
         context = zmq.asyncio.Context()
+        self._links = [
+            ControlLink(context, address, ControlReply)
+            for address in settings.control.values()
+        ]
         follower = ConfigurationFollower(
             settings.name,
             self._configuration,
-            [
-                ControlLink(context, address, ControlReply)
-                for address in settings.control.values()
-            ],
+            self._links,
             self._saved,
         )
         follower.start()
--- a/lycheespar/configuration/view.py
+++ b/lycheespar/configuration/view.py
@@ -9,7 +9,12 @@
 from reactivex import Observable
 from reactivex.subject import BehaviorSubject, Subject
 
-from lycheespar.configuration.model import Configuration, Service, resolve
+from lycheespar.configuration.model import (
+    Configuration,
+    Parameters,
+    Service,
+    resolve,
+)
 from lycheespar.configuration.stamp import MS_PER_S, Stamp, steady_time
 
 _NEVER: Final = float('-inf')
@@ -142,6 +147,12 @@
             self._confirmed_at = issued_at
         return True
 
+    def key_retention_s(self, service: str) -> float:
+        """Return the time for which a service's keys are remembered, in s."""
+        found = self._services.get(service)
+        parameters = Parameters() if found is None else found.parameters
+        return parameters.key_retention_s
+
     def is_out(self, data_centre: str, target: str) -> bool:
         """Whether a target, or its data centre, is taken out."""
         configuration = self._configuration
--- a/lycheespar/control/follower.py
+++ b/lycheespar/control/follower.py
@@ -172,7 +172,7 @@
         if isinstance(reply, Failure):
             log.debug("A control host refused a pull: '{}'.", reply.code)
             return None
-        return reply
+        return reply if isinstance(reply, PullReply) else None
 
     async def _until_urgent(self, wait_s: float) -> None:
         """Return when another control host must be asked.
--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -11,14 +11,17 @@
 
 from lycheespar.config.settings import ControlSettings
 from lycheespar.configuration.stamp import MS_PER_S
+from lycheespar.control.claims import ClaimHost
 from lycheespar.control.group import Group
 from lycheespar.control.link import LinkServer
 from lycheespar.control.messages import (
+    Claim,
     ControlReply,
     ControlRequest,
     Failure,
     Pull,
     PullReply,
+    Release,
 )
 from lycheespar.control.peer_messages import (
     AskProgress,
@@ -84,6 +87,13 @@
             self._timing,
             random.Random(),
         )
+        self._claims = ClaimHost(
+            Path(settings.data_folder) / 'claims',
+            founding=not replica.state.group,
+            founder=lambda: (
+                replica.state.founders.get(replica.name) == replica.disk
+            ),
+        )
         self._progress = Progress()
         self._server: LinkServer[HostRequest, HostReply] = LinkServer(
             context,
@@ -101,6 +111,7 @@
         self.group.stop()
         self._server.close()
         self._links.close()
+        self._claims.close()
         self._storage.close()
 
     @property
@@ -134,6 +145,8 @@
         match request:
             case Pull():
                 return await self._pull(request)
+            case Claim() | Release():
+                return await self._claims.handle(request)
             case AskProgress():
                 return ProgressReply(self._progress.nodes)
             case _:
--- a/lycheespar/control/messages.py
+++ b/lycheespar/control/messages.py
@@ -57,6 +57,46 @@
     base_revision: int = -1
 
 
+class Claim(msgspec.Struct, frozen=True, gc=False, tag='claim'):
+    """A node claims an idempotency key for one attempt.
+
+    Attributes
+    ----------
+    key : bytes
+        Digest of service and key.
+    attempt : bytes
+        Random identity of the attempt.
+    fingerprint : bytes
+        Digest of the request.
+    holder : str
+        Identity of the node that makes the attempt.
+    incarnation : int
+        Incarnation of that node.
+    retention_s : float
+        Time in seconds for which the claim holds.
+    """
+
+    key: bytes
+    attempt: bytes
+    fingerprint: bytes = b''
+    holder: str = ''
+    incarnation: int = 0
+    retention_s: float = 0
+
+
+class Release(msgspec.Struct, frozen=True, gc=False, tag='release'):
+    """Ends the claim of an attempt that surely did not and will not start."""
+
+    key: bytes
+    attempt: bytes
+
+
+class ClaimReply(msgspec.Struct, frozen=True, tag='claim_reply'):
+    """The claim that holds, or the one that was released."""
+
+    claim: Claim
+
+
 class Failure(msgspec.Struct, frozen=True, tag='failure'):
     """The request failed.
 
@@ -72,5 +112,5 @@
     detail: str
 
 
-ControlRequest = Pull
-ControlReply = PullReply | Failure
+ControlRequest = Pull | Claim | Release
+ControlReply = PullReply | ClaimReply | Failure
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -236,6 +236,13 @@
     code = 'claim_unavailable'
 
 
+class AttemptNotRunError(RefusedError):
+    """An earlier attempt with the same idempotency key did not run."""
+
+    code = 'attempt_not_run'
+    retryable = True
+
+
 class KeyReuseError(RefusedError):
     """The idempotency key was used before with another request."""
 
@@ -371,6 +378,13 @@
     code = 'storage'
 
 
+class ClaimsAbstainError(ControlError):
+    """This control host may have lost claims and gives none for a while."""
+
+    code = 'claims_abstain'
+    status = 503
+
+
 class StorageDamagedError(StorageError):
     """A record in the data folder is damaged."""
 
--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import AsyncIterator
 from typing import Final
 
 from lycheespar.call import Answer, Call
 from lycheespar.errors import (
     ChannelClosedError,
-    ChannelConnectError,
     ChannelLostError,
     ChannelSilentError,
     DeadlineExceededError,
@@ -33,12 +33,12 @@
     Message,
     Ping,
     Pong,
+    Recall,
     Refused,
     ResponseHead,
 )
 from lycheespar.protocol.pending import Pending, PendingTable, request
 
-CONNECT_TIMEOUT_S: Final = 1
 # Time in seconds for which a late call waits for the outcome of its
 # cancellation.
 CANCEL_REPLY_S: Final = 0.05
@@ -154,6 +154,32 @@
         finally:
             self._pending.drop(call_id)
 
+    async def recall(
+        self,
+        key: bytes,
+        attempt: bytes,
+        timeout_s: float,
+    ) -> Answer:
+        """Ask for the outcome of an idempotency key.
+
+        Raises
+        ------
+        RequestError
+            What the node knows instead of an answer.
+        ChannelLostError
+            The channel was lost.
+        TimeoutError
+            No reply came in time.
+        """
+        call_id = random.randbytes(len(attempt) or len(key))
+        pending = self._pending.add(call_id)
+        try:
+            self._connection.send(Recall(call_id, key, attempt))
+            async with asyncio.timeout(timeout_s):
+                return await pending.head
+        finally:
+            self._pending.drop(call_id)
+
     async def close(self) -> None:
         """Close the channel; calls under way are lost."""
         self._connection.close()
@@ -266,55 +292,3 @@
         """End all calls under way; each may have run."""
         self._pending.lose(error)
         self._connection.fail_bodies(TruncatedAnswerError('channel lost'))
-
-
-async def open_channel(
-    host: str,
-    port: int,
-    hello: Hello,
-    source: str,
-) -> Channel:
-    """Open a channel to a node.
-
-    Parameters
-    ----------
-    host, port
-        Address of the node's inner protocol.
-    hello : Hello
-        Who this node is.
-    source : str
-        IP number of this node from which the connection is made.
-
-    Raises
-    ------
-    ChannelConnectError
-        The node can't be reached within `CONNECT_TIMEOUT_S`.
-    """
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(
-                host,
-                port,
-                local_addr=(source, 0),
-            )
-            return await _greet(reader, writer, hello)
-    except (OSError, EOFError, ProtocolError) as error:
-        raise ChannelConnectError(f'{host}:{port}') from error
-
-
-async def _greet(
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-    hello: Hello,
-) -> Channel:
-    """Exchange the first messages."""
-    connection = FrameConnection(writer)
-    try:
-        connection.send(hello)
-        peer = await read_frame(reader)
-        if not isinstance(peer, Hello):
-            raise ProtocolError('no Hello')
-    except BaseException:
-        connection.abort()
-        raise
-    return Channel(reader, connection, peer)
--- a/lycheespar/protocol/messages.py
+++ b/lycheespar/protocol/messages.py
@@ -196,8 +196,27 @@
     clock_ms: int = 0
 
 
+class Recall(_Message, frozen=True, tag=13):
+    """Asks for the outcome of an idempotency key, which starts nothing.
+
+    The reply is a `ResponseHead` or a `Refused` with this call id.
+
+    Attributes
+    ----------
+    key : bytes
+        Digest of service and key.
+    attempt : bytes
+        Attempt that the receiver made; empty for any that it executed.
+    """
+
+    call_id: bytes
+    key: bytes
+    attempt: bytes
+
+
 Message = (
-    Hello
+    Recall
+    | Hello
     | Request
     | Accepted
     | Refused
--- a/lycheespar/protocol/remote.py
+++ b/lycheespar/protocol/remote.py
@@ -9,14 +9,16 @@
 from lycheespar.errors import (
     CancelledRequestError,
     ChannelConnectError,
+    ChannelError,
     ChannelLostError,
     DeadlineExceededError,
     DeadlineUnreachableError,
     OutcomeUnknownError,
     RequestError,
 )
-from lycheespar.protocol.channel import Channel, open_channel
+from lycheespar.protocol.channel import Channel
 from lycheespar.protocol.messages import Hello
+from lycheespar.protocol.opening import open_channel
 
 # Time in seconds for which a call is sent again, with the same id, to the same
 # node: from its first copy, or from the loss of the channel on which it was
@@ -111,6 +113,37 @@
             lost.note(error)
             return await self._recover(lost)
 
+    async def recall(
+        self,
+        key: bytes,
+        attempt: bytes,
+        timeout_s: float,
+    ) -> Answer:
+        """Ask for the outcome of an idempotency key, which starts nothing.
+
+        Parameters
+        ----------
+        key : bytes
+            Digest of service and key.
+        attempt : bytes
+            Attempt that the node made; empty for any that it executed.
+        timeout_s : float
+            Longest time to wait, in seconds.
+
+        Raises
+        ------
+        RequestError
+            What the node knows instead of an answer.
+        OutcomeUnknownError
+            The node can't be asked.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                channel = await self._current()
+                return await channel.recall(key, attempt, timeout_s)
+        except (TimeoutError, ChannelError) as error:
+            raise OutcomeUnknownError("the node can't be asked") from error
+
     async def close(self) -> None:
         """Close the channel."""
         if self._opening is not None:
--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -9,6 +9,7 @@
 from msgspec.structs import replace
 
 from lycheespar.admission.duplicates import DuplicateCheck
+from lycheespar.admission.key_records import KeyRecords
 from lycheespar.call import Answer, Call, Load
 from lycheespar.errors import BadRequestError, ProtocolError, RequestError
 from lycheespar.protocol.connection import FrameConnection
@@ -24,6 +25,7 @@
     Message,
     Ping,
     Pong,
+    Recall,
     Refused,
     Request,
     ResponseHead,
@@ -51,6 +53,8 @@
         Gives the load of the local target, sent with each refusal.
     hello : Hello
         Who this node is.
+    records : KeyRecords
+        Outcomes of idempotency keys.
     """
 
     __slots__ = (
@@ -58,6 +62,7 @@
         '_hello',
         '_load',
         '_peers',
+        '_records',
         '_server',
         '_sweeper',
     )
@@ -67,8 +72,10 @@
         executions: DuplicateCheck,
         load: Callable[[], Load],
         hello: Hello,
+        records: KeyRecords,
     ) -> None:
         """Keep the parts; `start` opens the port."""
+        self._records = records
         self._executions = executions
         self._load = load
         self._hello = hello
@@ -110,7 +117,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        peer = ChannelPeer(writer, self._executions, self._load)
+        peer = ChannelPeer(
+            writer,
+            self._executions,
+            self._load,
+            self._records,
+        )
         self._peers.add(peer)
         try:
             await peer.run(reader, self._hello)
@@ -138,6 +150,8 @@
         Runs the calls.
     load : Callable[[], Load]
         Gives the load of the local target.
+    records : KeyRecords
+        Outcomes of idempotency keys.
 
     Attributes
     ----------
@@ -145,18 +159,27 @@
         Instant of the last message on the event loop's clock, in seconds.
     """
 
-    __slots__ = ('_connection', '_executions', '_load', '_loop', 'heard_at')
+    __slots__ = (
+        '_connection',
+        '_executions',
+        '_load',
+        '_loop',
+        '_records',
+        'heard_at',
+    )
 
     def __init__(
         self,
         writer: asyncio.StreamWriter,
         executions: DuplicateCheck,
         load: Callable[[], Load],
+        records: KeyRecords,
     ) -> None:
         """Wrap the connection."""
         self._connection = FrameConnection(writer)
         self._executions = executions
         self._load = load
+        self._records = records
         self._loop = asyncio.get_running_loop()
         self.heard_at = self._loop.time()
 
@@ -230,11 +253,30 @@
                     message,
                     BadRequestError('the body of the request was cut'),
                 )
+            case Recall():
+                self._recall(message)
             case Ping(serial):
                 self._connection.send(Pong(serial, self._clock_ms()))
             case _:
                 return
 
+    def _recall(self, recall: Recall) -> None:
+        """Send the outcome of an idempotency key."""
+        match self._records.recall(recall.key, recall.attempt):
+            case Answer(status, headers, bytes(body), load):
+                self._connection.send(
+                    ResponseHead(
+                        recall.call_id,
+                        status,
+                        headers,
+                        load,
+                        body,
+                        streamed=False,
+                    ),
+                )
+            case RequestError() as error:
+                self.refuse(recall.call_id, error)
+
     def _submit(self, request: Request) -> None:
         clock_ms = self._clock_ms()
         self._connection.send(Accepted(request.call_id, clock_ms))
--- a/lycheespar/tests/protocol/nodes.py
+++ b/lycheespar/tests/protocol/nodes.py
@@ -9,6 +9,7 @@
 from contextlib import asynccontextmanager
 
 from lycheespar.admission.duplicates import DuplicateCheck
+from lycheespar.admission.key_records import KeyRecords
 from lycheespar.call import Answer, Body, Call, Load
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.remote import RemoteNode
@@ -48,7 +49,7 @@
         self.target = FakeTarget()
         self.executions = DuplicateCheck(self.target)
         hello = Hello('server', incarnation, 0)
-        self.server = ChannelServer(self.executions, Load, hello)
+        self.server = ChannelServer(self.executions, Load, hello, KeyRecords())
 
     async def start(self) -> None:
         """Open the ports."""
