--- /dev/null
+++ b/lycheespar/tests/control/claims_tests.py
@@ -0,0 +1,147 @@
+"""A control host gives each key to one attempt and loses no claim."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+
+import pytest
+
+from lycheespar.control import claims
+from lycheespar.control.claims import ClaimHost
+from lycheespar.control.messages import Claim, ClaimReply, Failure, Release
+
+KEY = b'k' * 16
+
+
+def _host(folder, *, founding=True, founder=True) -> ClaimHost:
+    return ClaimHost(
+        folder / 'claims',
+        founding=founding,
+        founder=lambda: founder,
+    )
+
+
+def _claim(attempt: bytes, key: bytes = KEY, retention_s: float = 60) -> Claim:
+    return Claim(key, attempt, b'f', 'node', 1, retention_s)
+
+
+async def _holder(host: ClaimHost, attempt: bytes) -> bytes | str:
+    match await host.handle(_claim(attempt)):
+        case ClaimReply(claim):
+            return claim.attempt
+        case Failure(code):
+            return code
+
+
+async def test_the_first_attempt_holds_a_key(tmp_path):
+    host = _host(tmp_path)
+    replies = await asyncio.gather(
+        *(_holder(host, attempt) for attempt in (b'a', b'b', b'a')),
+    )
+    assert replies == [b'a', b'a', b'a']
+
+
+async def test_a_claim_is_on_disk_when_it_is_told(tmp_path, monkeypatch):
+    synced = []
+    real = os.fsync
+    host = _host(tmp_path)
+    monkeypatch.setattr(os, 'fsync', lambda file: synced.append(real(file)))
+    await asyncio.gather(
+        *(host.handle(_claim(b'a', bytes([key]) * 16)) for key in range(50)),
+    )
+    assert 1 <= len(synced) <= 3
+    again = _host(tmp_path)
+    assert len(again) == 50
+    assert await _holder(again, b'b') == b'b'
+
+
+async def test_only_the_holder_releases_a_key(tmp_path):
+    host = _host(tmp_path)
+    await _holder(host, b'a')
+    await host.handle(Release(KEY, b'b'))
+    assert await _holder(host, b'c') == b'a'
+    await host.handle(Release(KEY, b'a'))
+    assert await _holder(host, b'c') == b'c'
+    assert await _holder(_host(tmp_path), b'd') == b'c'
+
+
+async def test_a_claim_ends_with_its_retention(tmp_path, monkeypatch):
+    now = [1000.0]
+    monkeypatch.setattr('time.monotonic', lambda: now[0])
+    host = _host(tmp_path)
+    await _holder(host, b'a')
+    now[0] += 59
+    assert await _holder(host, b'b') == b'a'
+    now[0] += 1 + 2 * claims.SLOT_S
+    assert await _holder(host, b'b') == b'b'
+
+
+async def test_a_host_with_a_lost_disk_gives_no_claims(tmp_path, monkeypatch):
+    now = [1000.0]
+    monkeypatch.setattr('time.monotonic', lambda: now[0])
+    host = _host(tmp_path, founder=False)
+    assert await _holder(host, b'a') == 'claims_abstain'
+    now[0] += claims.MAX_RETENTION_S - 1
+    assert await _holder(host, b'a') == 'claims_abstain'
+    now[0] += 2
+    assert await _holder(host, b'a') == b'a'
+    host.close()
+    assert await _holder(_host(tmp_path, founder=False), b'b') == b'a'
+
+
+async def test_a_host_with_a_deleted_file_gives_no_claims(tmp_path):
+    assert await _holder(_host(tmp_path, founding=False), b'a') == (
+        'claims_abstain'
+    )
+
+
+@pytest.mark.parametrize('place', [20, 60, 130])
+async def test_a_flipped_bit_ends_the_giving_of_claims(tmp_path, place):
+    host = _host(tmp_path)
+    for number in range(4):
+        await host.handle(_claim(b'a', bytes([number]) * 16))
+    host.close()
+    path = tmp_path / 'claims'
+    stored = bytearray(path.read_bytes())
+    stored[place] ^= 4
+    path.write_bytes(stored)
+    assert await _holder(_host(tmp_path), b'b') == 'claims_abstain'
+
+
+async def test_a_torn_last_record_is_cut_off(tmp_path):
+    host = _host(tmp_path)
+    await _holder(host, b'a')
+    host.close()
+    path = tmp_path / 'claims'
+    with path.open('ab') as file:
+        file.write(b'\x00\x00')
+    again = _host(tmp_path)
+    assert await _holder(again, b'b') == b'a'
+    await again.handle(_claim(b'a', b'other'))
+    assert len(_host(tmp_path)) == 2
+
+
+async def test_a_full_disk_gives_no_claim(tmp_path, monkeypatch):
+    host = _host(tmp_path)
+
+    def full(_file: int, _content: bytes) -> None:
+        raise OSError(28, 'No space left on device')
+
+    monkeypatch.setattr('lycheespar.control.claims_file.write_all', full)
+    assert await _holder(host, b'a') == 'storage_full'
+    assert await _holder(host, b'a') == 'storage_full'
+
+
+async def test_the_file_is_compacted(tmp_path, monkeypatch):
+    monkeypatch.setattr(claims, 'SPARE_RECORDS', 10)
+    host = _host(tmp_path)
+    for number in range(100):
+        attempt = bytes([number])
+        await host.handle(_claim(attempt))
+        await host.handle(Release(KEY, attempt))
+    await _holder(host, b'last')
+    while host._writer is not None:
+        await asyncio.sleep(0)
+    assert host._file.records <= 13
+    assert await _holder(_host(tmp_path), b'b') == b'last'
--- /dev/null
+++ b/lycheespar/tests/routing/site.py
@@ -0,0 +1,248 @@
+"""Nodes and control hosts of tests in one event loop, with faults.
+
+Routers, channels, duplicate checks, records and claims are the real ones;
+targets, links between hosts and membership are small fakes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from pathlib import Path
+
+from lycheespar.admission.duplicates import DuplicateCheck
+from lycheespar.admission.key_records import KeyRecords
+from lycheespar.admission.recorded import RecordedExecution
+from lycheespar.call import Answer, Call, Load
+from lycheespar.configuration.model import Configuration
+from lycheespar.configuration.view import ConfigurationView
+from lycheespar.control.claims import ClaimHost
+from lycheespar.control.claims_quorum import ClaimQuorum
+from lycheespar.control.link import LinkTimeoutError
+from lycheespar.control.messages import ControlReply, ControlRequest
+from lycheespar.errors import OverloadedError, TargetLostError
+from lycheespar.membership.records import MemberRecord, Phase
+from lycheespar.membership.view import MembershipView
+from lycheespar.protocol.messages import Hello
+from lycheespar.protocol.server import ChannelServer
+from lycheespar.routing.keyed import KeyedDispatch
+from lycheespar.routing.picker import Picker
+from lycheespar.routing.pool import ChannelPool
+from lycheespar.routing.recall import Recall
+from lycheespar.routing.router import Router
+from standins.link import Link
+
+SERVICE = 'vlotwacht/station-records'
+HOST = '127.0.0.1'
+RETENTION_S = 300
+
+
+class FaultyTarget:
+    """Counts executions; refuses, dies or is slow as its numbers say."""
+
+    def __init__(self, site: Site) -> None:
+        self._site = site
+
+    async def execute(self, call: Call) -> Answer:
+        """Run a call, or fail."""
+        dice = self._site.random.random()
+        await asyncio.sleep(self._site.random.uniform(0, 0.01))
+        if dice < self._site.refused:
+            raise OverloadedError(retry_after_s=0.01)
+        call.started = True
+        attempt = dict(call.headers)['attempt']
+        self._site.executions[call.path] += 1
+        self._site.by_attempt[attempt] += 1
+        await asyncio.sleep(self._site.random.uniform(0, self._site.slow_s))
+        if dice > 1 - self._site.dying:
+            raise TargetLostError
+        return Answer(200, (), attempt.encode(), Load())
+
+
+class ControlHost:
+    """A control host whose claims survive a restart, or not."""
+
+    def __init__(self, site: Site, folder: Path) -> None:
+        self._site = site
+        self._folder = folder
+        self.cut = False
+        self.start(founder=True)
+
+    def start(self, *, founder: bool) -> None:
+        """Start with what is in the folder."""
+        self.claims = ClaimHost(
+            self._folder / 'claims',
+            founding=founder,
+            founder=lambda: founder,
+        )
+
+    def lose_disk(self) -> None:
+        """Lose all claims and start again."""
+        self.claims.close()
+        (self._folder / 'claims').unlink()
+        self.start(founder=False)
+
+    async def ask(
+        self,
+        request: ControlRequest,
+        timeout_s: float,
+    ) -> ControlReply:
+        """Answer unless the link loses the request or the reply."""
+        await asyncio.sleep(self._site.random.uniform(0, 0.005))
+        if not self._lost():
+            reply = await self.claims.handle(request)
+            await asyncio.sleep(self._site.random.uniform(0, 0.005))
+            if not self._lost():
+                return reply
+        await asyncio.sleep(timeout_s)
+        raise LinkTimeoutError
+
+    def _lost(self) -> bool:
+        return self.cut or self._site.random.random() < self._site.lossy
+
+
+class Node:
+    """One node, reached by the others through a link that can fail."""
+
+    def __init__(self, site: Site, name: str) -> None:
+        self._site = site
+        self.name = name
+        self.incarnation = 0
+        self.link: Link | None = None
+
+    async def start(self) -> None:
+        """Start, with nothing known from before."""
+        self.incarnation += 1
+        hello = Hello(self.name, self.incarnation, 0)
+        self.records = KeyRecords()
+        execution = RecordedExecution(
+            FaultyTarget(self._site),
+            self.records,
+            lambda _: RETENTION_S,
+        )
+        self._server = ChannelServer(
+            DuplicateCheck(execution),
+            Load,
+            hello,
+            self.records,
+        )
+        await self._server.start(HOST, 0)
+        self.link = Link(*self._server.address)
+        await self.link.start()
+        self._pool = ChannelPool(hello, HOST)
+        self._site.publish(self)
+        self.dispatch = self._dispatch(execution).dispatch
+
+    def _dispatch(self, execution: RecordedExecution) -> KeyedDispatch:
+        members = self._site.members
+        router = Router(
+            self.name,
+            members,
+            ConfigurationView(Configuration()),
+            execution,
+            self._pool,
+            Picker('ijmuiden', self._site.random),
+        )
+        return KeyedDispatch(
+            router,
+            ClaimQuorum(lambda: self._site.control),
+            self.records,
+            Recall(
+                self.name,
+                self.incarnation,
+                members,
+                self._pool,
+                self.records,
+            ),
+            lambda _: RETENTION_S,
+        )
+
+    async def stop(self) -> None:
+        """End at once."""
+        await self.link.stop()
+        await self._server.stop()
+        await self._pool.close()
+
+    async def restart(self) -> None:
+        """End at once and start anew."""
+        await self.stop()
+        await self.start()
+
+    def break_channels(self) -> None:
+        """Close the connections of other nodes to this one."""
+        for pair in tuple(self.link._pairs):
+            pair.close()
+
+
+class Site:
+    """Three control hosts and some nodes, each with a target."""
+
+    def __init__(self, folder: Path, seed: int, nodes: int = 3) -> None:
+        self.random = random.Random(seed)
+        self.refused = 0.0
+        self.dying = 0.0
+        self.lossy = 0.0
+        self.slow_s = 0.02
+        self.executions: Counter[str] = Counter()
+        self.by_attempt: Counter[str] = Counter()
+        self.members = MembershipView()
+        folders = [folder / f'control-{index}' for index in range(3)]
+        for made in folders:
+            made.mkdir()
+        self.control = [ControlHost(self, made) for made in folders]
+        self.nodes = [Node(self, f'node-{index}') for index in range(nodes)]
+
+    async def __aenter__(self) -> Site:
+        """Start all nodes."""
+        for node in self.nodes:
+            await node.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stop all nodes."""
+        for node in self.nodes:
+            await node.stop()
+
+    def publish(self, node: Node, phase: Phase = Phase.ready) -> None:
+        """Tell all nodes about one."""
+        host, port = node.link.address
+        self.members.merge(
+            MemberRecord(
+                node.name,
+                node.incarnation,
+                int(phase),
+                host,
+                port,
+                1,
+                'ijmuiden',
+                SERVICE,
+                f'{node.name}-target',
+                phase,
+                8,
+            ),
+        )
+
+
+def new_call(
+    path: str,
+    attempt: str,
+    key: str = '',
+    deadline_s: float = 5,
+    fingerprint: bytes = b'',
+) -> Call:
+    """Return a call that may not be repeated."""
+    return Call(
+        call_id=random.randbytes(16),
+        service=SERVICE,
+        method='POST',
+        path=path,
+        headers=(('attempt', attempt),),
+        body=b'',
+        request_class='default',
+        weight=1,
+        idempotent=False,
+        deadline=asyncio.get_running_loop().time() + deadline_s,
+        idempotency_key=key,
+        fingerprint=fingerprint or path.encode(),
+    )
