Channels: a close ends calls that wait with a coded error

A call that waited for the opening of a channel ended by CancelledError when its pool closed, seen once in 13 runs of the history tests and by a focused test (asyncio.exceptions.CancelledError before, ChannelConnectError after).

--- a/lycheespar/protocol/remote.py
+++ b/lycheespar/protocol/remote.py
@@ -70,6 +70,7 @@
 
     __slots__ = (
         '_channel',
+        '_closed',
         '_hello',
         '_host',
         '_opening',
@@ -89,6 +90,7 @@
         self._host = host
         self._port = port
         self._hello = hello
+        self._closed = False
         self._channel: Channel | None = None
         self._opening: asyncio.Task[Channel] | None = None
 
@@ -145,7 +147,8 @@
             raise OutcomeUnknownError("the node can't be asked") from error
 
     async def close(self) -> None:
-        """Close the channel."""
+        """Close the channel; no other is opened."""
+        self._closed = True
         if self._opening is not None:
             self._opening.cancel()
         if self._channel is not None:
@@ -181,14 +184,9 @@
         OutcomeUnknownError
             There is none in time, or the node has ended.
         """
-        while lost.may_resend:
-            try:
-                async with asyncio.timeout_at(lost.call.deadline):
-                    channel = await self._current()
-            except TimeoutError as error:
-                raise DeadlineExceededError('channel lost') from error
-            except ChannelConnectError as error:
-                await _pause_unless_ended(error)
+        while lost.may_resend and not self._closed:
+            channel = await self._try_open(lost.call)
+            if channel is None:
                 continue
             if channel.incarnation != lost.incarnation:
                 raise OutcomeUnknownError('the node has restarted')
@@ -196,14 +194,33 @@
                 return channel
         raise OutcomeUnknownError('channel lost')
 
+    async def _try_open(self, call: Call) -> Channel | None:
+        """Return a new channel, or nothing if another try is worth it."""
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                return await self._current()
+        except TimeoutError as error:
+            raise DeadlineExceededError('channel lost') from error
+        except ChannelConnectError as error:
+            await _pause_unless_ended(error)
+        return None
+
     async def _current(self) -> Channel:
         """Return the usable channel; calls that wait share its opening."""
         if self._channel is not None and self._channel.usable:
             return self._channel
+        if self._closed:
+            raise ChannelConnectError('closed')
         if self._opening is None or self._opening.done():
             self._opening = asyncio.create_task(self._open())
             self._opening.add_done_callback(_read_error)
-        return await asyncio.shield(self._opening)
+        opening = self._opening
+        try:
+            return await asyncio.shield(opening)
+        except asyncio.CancelledError:
+            if opening.cancelled():
+                raise ChannelConnectError('closed') from None
+            raise
 
     async def _open(self) -> Channel:
         self._channel = await open_channel(
--- a/lycheespar/routing/pool.py
+++ b/lycheespar/routing/pool.py
@@ -42,6 +42,6 @@
 
     async def close(self) -> None:
         """Close all channels."""
-        for _, remote in self._nodes.values():
+        for _, remote in tuple(self._nodes.values()):
             await remote.close()
         self._nodes.clear()
--- a/lycheespar/tests/protocol/remote_tests.py
+++ b/lycheespar/tests/protocol/remote_tests.py
@@ -176,3 +176,16 @@
         with pytest.raises(OutcomeUnknownError, match='channel lost'):
             await waiting
         assert node.target.executions['/book'] == 1
+
+
+async def test_a_close_while_a_channel_opens_is_told_as_not_sent(monkeypatch):
+    async def never(*_: object) -> None:
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(remote, 'open_channel', never)
+    async with running_node() as node:
+        waiting = asyncio.create_task(node.remote.execute(new_call()))
+        await asyncio.sleep(0.01)
+        await node.remote.close()
+        with pytest.raises(ChannelConnectError):
+            await waiting
