--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(BIN)/ruff check --fix .
 
 demo: $(STAMP)
-	$(BIN)/python -m demo --deployment $(DEPLOYMENT)
+	$(BIN)/python -m demo --deployment $(DEPLOYMENT) $(if $(TRACE),--trace)
 
 bench: $(STAMP)
 	$(BIN)/python -m bench
@@ -43,5 +43,6 @@
 docs: $(STAMP)
 	$(BIN)/mkdocs build --strict
 
-settings-page: $(STAMP)
+reference: $(STAMP)
 	$(BIN)/python -m tools.settings_page
+	$(BIN)/python -m tools.codes_page
--- a/lycheespar/admission/duplicates.py
+++ b/lycheespar/admission/duplicates.py
@@ -15,7 +15,7 @@
 from loguru import logger
 
 from lycheespar.admission.generations import Generations
-from lycheespar.call import Answer, Call, Execution, close_body
+from lycheespar.call import Answer, Call, Execution
 from lycheespar.errors import (
     CancelledRequestError,
     InternalRequestError,
@@ -24,6 +24,7 @@
     RefusedError,
     RequestError,
 )
+from lycheespar.streams import close_stream
 
 # Time in seconds for which an execution goes on without an attached sender;
 # longer than senders try to attach again.
@@ -253,7 +254,7 @@
         finally:
             run.attached = None
             self._keep(run, 0)
-            await close_body(answer.body)
+            await close_stream(answer.body)
 
     def _keep(self, run: _Run, size: int) -> None:
         """Keep an outcome for a while, then only the id of its call."""
--- a/lycheespar/admission/key_records.py
+++ b/lycheespar/admission/key_records.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from lycheespar.admission.generations import Generations
-from lycheespar.call import Answer, Call, Closable
+from lycheespar.call import Answer, Call
 from lycheespar.errors import (
     AttemptNotRunError,
     KeyReuseError,
@@ -24,6 +24,7 @@
     StillRunningError,
 )
 from lycheespar.protocol.body import INLINE_BYTES
+from lycheespar.streams import close_stream
 
 # Most bytes of answers that are kept for their keys.
 MAX_KEPT_BYTES: Final = 8 * 1024 * 1024
@@ -229,11 +230,9 @@
             return self._first.popleft()
         return await anext(self._rest)
 
-    def close(self) -> None:
+    async def aclose(self) -> None:
         """Close the rest of the body."""
-        match self._rest:
-            case Closable():
-                self._rest.close()
+        await close_stream(self._rest)
 
 
 async def whole(answer: Answer) -> Answer:
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator, AsyncIterator
-from typing import Protocol, runtime_checkable
+from collections.abc import AsyncIterator
+from typing import Protocol
 
 import msgspec
 
@@ -11,14 +11,6 @@
 Body = bytes | AsyncIterator[bytes]
 
 
-@runtime_checkable
-class Closable(Protocol):
-    """A body that holds resources until it is closed."""
-
-    def close(self) -> None:
-        """Release the resources; nothing is read afterwards."""
-
-
 class Load(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Load of one target, as its own node sees it.
 
@@ -140,12 +132,3 @@
         OutcomeUnknownError
             The call may have run.
         """
-
-
-async def close_body(body: Body) -> None:
-    """End a streamed body that nobody reads any more."""
-    match body:
-        case AsyncGenerator():
-            await body.aclose()
-        case Closable():
-            body.close()
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -8,7 +8,10 @@
 from __future__ import annotations
 
 import enum
-from typing import ClassVar
+from typing import TYPE_CHECKING, ClassVar
+
+if TYPE_CHECKING:
+    from lycheespar.call import Load
 
 
 class Outcome(enum.StrEnum):
@@ -126,6 +129,8 @@
         Whether the request is known not to have run.
     retry_after_s : float
         Seconds after which the caller may come back.
+    load : Load | None
+        Load of the target that refused, where its node told it.
     """
 
     code = 'request'
@@ -137,6 +142,7 @@
         """Keep the detail and when to come back, in seconds."""
         super().__init__(detail)
         self.retry_after_s = retry_after_s
+        self.load: Load | None = None
 
 
 class RefusedError(RequestError):
@@ -154,6 +160,20 @@
     status = 400
 
 
+class BodyTooLargeError(RefusedError):
+    """The declared length of the request's body exceeds the limit."""
+
+    code = 'body_too_large'
+    status = 413
+
+
+class LoopDetectedError(RefusedError):
+    """The request stands below too many others, so calls run in a circle."""
+
+    code = 'loop_detected'
+    status = 508
+
+
 class UnknownServiceError(RefusedError):
     """No team has the service that the request names."""
 
@@ -297,6 +317,13 @@
     status = 400
 
 
+class BodyOverLimitError(OutcomeUnknownError):
+    """The request's body went past the limit while it was being sent on."""
+
+    code = 'body_over_limit'
+    status = 413
+
+
 class TruncatedAnswerError(OutcomeUnknownError):
     """The answer of the target ended before its declared length."""
 
@@ -411,6 +438,27 @@
     status = 503
 
 
+class ApiUnreachableError(ControlError):
+    """No control host took the request; nothing was changed."""
+
+    code = 'api_unreachable'
+    exit_code = 7
+
+
+class NotInForceError(ControlError):
+    """An accepted change is not in force everywhere yet."""
+
+    code = 'not_in_force'
+    exit_code = 6
+
+
+class UnknownNameError(ControlError):
+    """There is no template or team of that name."""
+
+    code = 'unknown_name'
+    status = 404
+
+
 class OtherGroupError(ControlError):
     """The message belongs to another group of control hosts."""
 
--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -4,8 +4,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from typing import Final
 
-from lycheespar.call import close_body
 from lycheespar.errors import BodySequenceError, LycheesparError
 from lycheespar.protocol.body import BodyReceiver, SendWindow, split
 from lycheespar.protocol.framing import encode_frame
@@ -16,6 +16,9 @@
     Message,
 )
 from lycheespar.protocol.sockets import tune_socket
+from lycheespar.streams import close_stream
+
+CLOSE_TIMEOUT_S: Final = 1
 
 
 class FrameConnection:
@@ -58,6 +61,14 @@
         """Close the connection at once; what is buffered is not sent."""
         self._writer.transport.abort()
 
+    async def wait_closed(self) -> None:
+        """Wait for a bounded time until the connection is closed."""
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._writer.wait_closed()
+        except OSError:
+            return
+
     def open_receiver(self, call_id: bytes) -> BodyReceiver:
         """Start to receive the streamed body of a call."""
         receiver = BodyReceiver(
@@ -91,7 +102,7 @@
             self.send(BodyEnd(call_id, length, ''))
         finally:
             self._windows.pop(call_id, None)
-            await close_body(body)
+            await close_stream(body)
 
     def take_body_message(
         self,
--- a/lycheespar/routing/recall.py
+++ b/lycheespar/routing/recall.py
@@ -122,7 +122,7 @@
     ) -> Answer:
         if record.node == self.node:
             return self._recorded(key, attempt)
-        remote = await self._pool.get(record)
+        remote = self._pool.remote(record)
         return await remote.recall(key, attempt, RECALL_TIMEOUT_S)
 
     def _recorded(self, key: bytes, attempt: bytes) -> Answer:
--- a/lycheespar/tests/routing/site.py
+++ b/lycheespar/tests/routing/site.py
@@ -26,6 +26,7 @@
 from lycheespar.membership.view import MembershipView
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
+from lycheespar.routing.attempts import Attempts
 from lycheespar.routing.keyed import KeyedDispatch
 from lycheespar.routing.picker import Picker
 from lycheespar.routing.pool import ChannelPool
@@ -136,13 +137,17 @@
 
     def _dispatch(self, execution: RecordedExecution) -> KeyedDispatch:
         members = self._site.members
+        configuration = ConfigurationView(Configuration())
         router = Router(
-            self.name,
-            members,
-            ConfigurationView(Configuration()),
-            execution,
-            self._pool,
-            Picker('ijmuiden', self._site.random),
+            Attempts(
+                self.name,
+                members,
+                configuration,
+                execution,
+                self._pool,
+                Picker('ijmuiden', self._site.random),
+            ),
+            configuration,
         )
         return KeyedDispatch(
             router,
