--- a/bench/path.py
+++ b/bench/path.py
@@ -119,7 +119,8 @@
     await wait_until(lambda: answers(session, f'{api}/v1/status', ''))
     template = {'name': 'delivery', 'routes': [{'idempotent': True}]}
     await change(session, api, 'put_template', template=template)
-    services = {'certificates': {'template': 'delivery'}}
+    service = {'template': 'delivery', 'parameters': {'cold_start_s': 0}}
+    services = {'certificates': service}
     team = {'name': 'vlotwacht', 'services': services}
     await change(session, api, 'put_team', team=team)
 
--- a/lycheespar/protocol/body.py
+++ b/lycheespar/protocol/body.py
@@ -21,6 +21,8 @@
     ----------
     grant : Callable[[int], None]
         Called with the number of bytes that the consumer has taken.
+    on_demand : bool
+        Whether the sender waits until the consumer begins to read.
     """
 
     __slots__ = (
@@ -29,12 +31,19 @@
         '_ended',
         '_error',
         '_grant',
+        '_on_demand',
         '_ready',
         '_received',
     )
 
-    def __init__(self, grant: Callable[[int], None]) -> None:
+    def __init__(
+        self,
+        grant: Callable[[int], None],
+        *,
+        on_demand: bool = False,
+    ) -> None:
         """Start with an empty body."""
+        self._on_demand = on_demand
         self._chunks: deque[bytes] = deque()
         self._grant = grant
         self._received = 0
@@ -85,6 +94,8 @@
         LycheesparError
             The body was cut.
         """
+        if self._on_demand:
+            self._grant(WINDOW_BYTES)
         while True:
             while self._chunks:
                 chunk = self._chunks.popleft()
@@ -100,26 +111,35 @@
 
 
 class SendWindow:
-    """Bytes that the receiver of a body allows its sender."""
+    """Bytes that the receiver of a body allows its sender.
+
+    Parameters
+    ----------
+    credit : int
+        Bytes allowed at the start.
+    """
 
     __slots__ = ('_credit', '_ready')
 
-    def __init__(self) -> None:
-        """Start with a full window."""
-        self._credit = WINDOW_BYTES
+    def __init__(self, credit: int = WINDOW_BYTES) -> None:
+        """Start with the given window."""
+        self._credit = credit
         self._ready = asyncio.Event()
-        self._ready.set()
 
     def grant(self, credit: int) -> None:
         """Allow more bytes."""
         self._credit += credit
         self._ready.set()
 
-    async def take(self, size: int) -> None:
-        """Wait until the window is open, then use `size` bytes of it."""
+    async def opened(self) -> None:
+        """Wait until the window is open."""
         while self._credit <= 0:
             self._ready.clear()
             await self._ready.wait()
+
+    async def take(self, size: int) -> None:
+        """Wait until the window is open, then use `size` bytes of it."""
+        await self.opened()
         self._credit -= size
 
 
--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -64,8 +64,8 @@
         '_peer',
         '_pending',
         '_reader',
+        '_sending',
         '_task',
-        '_tasks',
     )
 
     def __init__(
@@ -79,7 +79,7 @@
         self._connection = connection
         self._peer = peer
         self._pending = PendingTable(peer.clock_ms, self._give_up_silent)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._sending: dict[bytes, asyncio.Task[None]] = {}
         self._heartbeat = Heartbeat(
             connection,
             self._pending,
@@ -124,14 +124,19 @@
         try:
             self._send_request(call, attach_only=attach_only)
             async with asyncio.timeout_at(call.deadline):
-                return await pending.head
-        except TimeoutError as error:
-            raise await self._withdraw(call.call_id, pending) from error
-        except asyncio.CancelledError:
-            self._connection.send(Cancel(call.call_id, pending.accepted))
+                answer = await pending.head
+        except BaseException as error:
+            self._stop_sending(call.call_id)
+            if isinstance(error, TimeoutError):
+                raise await self._withdraw(call.call_id, pending) from error
+            if isinstance(error, asyncio.CancelledError):
+                self._connection.send(Cancel(call.call_id, pending.accepted))
             raise
         finally:
             self._pending.drop(call.call_id)
+        if isinstance(answer.body, bytes):
+            self._stop_sending(call.call_id)
+        return answer
 
     async def cancel(self, call_id: bytes, *, accepted: bool) -> bool:
         """Cancel a call that was sent on an earlier channel.
@@ -185,11 +190,19 @@
             request(call, self._pending.clock_ms, attach_only=attach_only),
         )
         if not isinstance(call.body, bytes):
-            task = asyncio.create_task(
-                self._connection.send_body(call.call_id, call.body),
+            self._sending[call.call_id] = asyncio.create_task(
+                self._connection.send_body(
+                    call.call_id,
+                    call.body,
+                    on_demand=True,
+                ),
             )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+
+    def _stop_sending(self, call_id: bytes) -> None:
+        """Leave what is left of a request's body unread."""
+        task = self._sending.pop(call_id, None)
+        if task is not None:
+            task.cancel()
 
     async def _read(self) -> None:
         """Take the messages of the peer until the connection ends."""
@@ -247,6 +260,7 @@
 
     def _cancel_unread(self, call_id: bytes, whole: bool) -> None:
         self._heartbeat.leave()
+        self._stop_sending(call_id)
         if not whole:
             self._connection.forget(call_id)
             self._connection.send(Cancel(call_id))
--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -58,10 +58,24 @@
         """Close the connection at once; what is buffered is not sent."""
         self._writer.transport.abort()
 
-    def open_receiver(self, call_id: bytes) -> BodyReceiver:
-        """Start to receive the streamed body of a call."""
+    def open_receiver(
+        self,
+        call_id: bytes,
+        *,
+        on_demand: bool = False,
+    ) -> BodyReceiver:
+        """Start to receive the streamed body of a call.
+
+        Parameters
+        ----------
+        call_id : bytes
+            Id of the call.
+        on_demand : bool
+            Whether the sender waits until the body is read.
+        """
         receiver = BodyReceiver(
             lambda size: self.send(BodyCredit(call_id, size)),
+            on_demand=on_demand,
         )
         self._receivers[call_id] = receiver
         return receiver
@@ -70,15 +84,27 @@
         self,
         call_id: bytes,
         body: AsyncIterator[bytes],
+        *,
+        on_demand: bool = False,
     ) -> None:
         """Stream a body within the window of its receiver.
 
         A body that fails is ended with the code of its error.
+
+        Parameters
+        ----------
+        call_id : bytes
+            Id of the call.
+        body : AsyncIterator[bytes]
+            The body.
+        on_demand : bool
+            Whether it stays unread until the receiver asks for it.
         """
-        window = SendWindow()
+        window = SendWindow(0) if on_demand else SendWindow()
         self._windows[call_id] = window
         length = 0
         try:
+            await window.opened()
             async for chunk in body:
                 for part in split(chunk):
                     await window.take(len(part))
--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Final
 
 from msgspec.structs import replace
@@ -247,6 +247,10 @@
             attach_only=request.attach_only or late,
         )
 
+    def _request_body(self, call_id: bytes) -> AsyncIterator[bytes]:
+        receiver = self._connection.open_receiver(call_id, on_demand=True)
+        return aiter(receiver)
+
     def _call(self, request: Request) -> Call:
         return Call(
             call_id=request.call_id,
@@ -255,7 +259,7 @@
             path=request.path,
             headers=request.headers,
             body=(
-                aiter(self._connection.open_receiver(request.call_id))
+                self._request_body(request.call_id)
                 if request.streamed
                 else request.body
             ),
--- a/standins/target.py
+++ b/standins/target.py
@@ -259,13 +259,15 @@
             return web.Response(status=500, text='overrun')
         while self.frozen:
             await asyncio.sleep(0.05)
-        body = await request.read()
+        received = 0
+        async for chunk in request.content.iter_any():
+            received += len(chunk)
         mean_ms = float(request.query.get('ms', self.plan.service_ms))
         await asyncio.sleep(
             self._random.gammavariate(4, mean_ms / 4) / MS_PER_S,
         )
         size = int(request.query.get('size', 0))
-        return await self._answer(request, execution, len(body), size)
+        return await self._answer(request, execution, received, size)
 
     async def _answer(
         self,
