--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from loguru import logger
@@ -51,6 +52,8 @@
     stale_after_s : float
         Age in seconds past which the configuration is not current;
         infinite where stale configurations are served.
+    connect : Callable[[Announcement], TargetClient]
+        Prepares the connections to an announced target.
     """
 
     __slots__ = (
@@ -58,6 +61,7 @@
         '_client',
         '_closing',
         '_configuration',
+        '_connect',
         '_data_centre',
         '_drained_at',
         '_gate',
@@ -73,12 +77,14 @@
         configuration: ConfigurationView,
         data_centre: str,
         stale_after_s: float,
+        connect: Callable[[Announcement], TargetClient],
     ) -> None:
         """Follow the target's announcements and the configuration."""
         self._target = target
         self._configuration = configuration
         self._data_centre = data_centre
         self._stale_after_s = stale_after_s
+        self._connect = connect
         self._limiter = Limiter()
         self._gate = Gate(self._limiter)
         self._client: TargetClient | None = None
@@ -222,7 +228,7 @@
             return
         log.info("Target '{}' is {}.", announcement.target, announcement.phase)
         if known is None or _identity(known) != _identity(announcement):
-            self._replace_client(TargetClient(announcement))
+            self._replace_client(self._connect(announcement))
             self._limiter.restart(_now())
         elif announcement.state is Phase.cold and known.state is not Phase.cold:
             self._limiter.restart(_now())
@@ -256,7 +262,7 @@
         if announced is None or now - self._reconnected_at < RECONNECT_S:
             return
         self._reconnected_at = now
-        self._replace_client(TargetClient(announced))
+        self._replace_client(self._connect(announced))
 
     def _replace_client(self, client: TargetClient | None) -> None:
         old = self._client
--- a/lycheespar/ingress/connection.py
+++ b/lycheespar/ingress/connection.py
@@ -16,9 +16,8 @@
     RequestError,
 )
 from lycheespar.ingress.answers import problem
+from lycheespar.protocol.sockets import tune_socket
 
-# Time after which a caller is gone that acknowledges nothing.
-UNACKNOWLEDGED_MS: Final = 20_000
 SERVER_ERROR: Final = 500
 # Discards what is unsent and resets the connection when it is closed.
 _RESET: Final = struct.pack('ii', 1, 0)
@@ -32,12 +31,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Let the system find out when the caller is gone."""
         super().connection_made(transport)
-        sock = transport.get_extra_info('socket')
-        sock.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            UNACKNOWLEDGED_MS,
-        )
+        tune_socket(transport.get_extra_info('socket'))
 
     def handle_error(
         self,
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 from typing import Final
 
 from aiohttp import web
@@ -15,11 +17,15 @@
 from lycheespar.ingress.body import CallerBody
 from lycheespar.ingress.classify import classify
 from lycheespar.ingress.connection import CallerServer, reset
+from lycheespar.ingress.listener import open_listener, refuse_new
 from lycheespar.streams import close_stream
 
 KEEPALIVE_S: Final = 75
+POLL_S: Final = 0.02
 # Time for which the rest of a refused body is read and dropped.
 LINGER_S: Final = 2
+# Time in which the last answers are written to their connections.
+SHUTDOWN_TIMEOUT_S: Final = 1
 
 log = logger.bind(part='ingress')
 
@@ -37,7 +43,16 @@
         Largest body of a request in bytes.
     """
 
-    __slots__ = ('_configuration', '_dispatch', '_max_body_bytes', '_runner')
+    __slots__ = (
+        '_configuration',
+        '_dispatch',
+        '_draining',
+        '_listener',
+        '_max_body_bytes',
+        '_runner',
+        '_server',
+        '_under_way',
+    )
 
     def __init__(
         self,
@@ -49,15 +64,20 @@
         self._configuration = configuration
         self._dispatch = dispatch
         self._max_body_bytes = max_body_bytes
+        self._draining = False
+        self._under_way = 0
+        self._listener: socket.socket | None = None
+        self._server = CallerServer(
+            self._handle,
+            handler_cancellation=True,
+            auto_decompress=False,
+            lingering_time=LINGER_S,
+            keepalive_timeout=KEEPALIVE_S,
+            access_log=None,
+        )
         self._runner = web.ServerRunner(
-            CallerServer(
-                self._handle,
-                handler_cancellation=True,
-                auto_decompress=False,
-                lingering_time=LINGER_S,
-                keepalive_timeout=KEEPALIVE_S,
-                access_log=None,
-            ),
+            self._server,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
 
     @property
@@ -68,22 +88,61 @@
     async def start(self, address: Address) -> None:
         """Listen on an address."""
         await self._runner.setup()
-        await web.TCPSite(self._runner, address.host, address.port).start()
+        self._listener = open_listener(address.host, address.port)
+        await web.SockSite(self._runner, self._listener).start()
+
+    def drain(self) -> None:
+        """Tell callers with each answer to close their connection."""
+        self._draining = True
+
+    async def close_port(self) -> None:
+        """Take no new connections; the open ones go on."""
+        if self._listener is not None:
+            await refuse_new(self._listener)
+        for site in self._runner.sites:
+            await site.stop()
+
+    async def finish(self, linger_s: float) -> None:
+        """Wait for the end of all requests.
+
+        Parameters
+        ----------
+        linger_s : float
+            Time in seconds for which idle connections stay open, for
+            requests that are on their way.
+        """
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + linger_s
+        while self._server.connections and loop.time() < ends_at:
+            await asyncio.sleep(POLL_S)
+        self._server.pre_shutdown()
+        while self._under_way:
+            await asyncio.sleep(POLL_S)
 
     async def stop(self) -> None:
-        """Close the port; requests under way are finished first."""
+        """Close the port and all connections."""
         await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._under_way += 1
+        try:
+            response = await self._answer(request)
+        finally:
+            self._under_way -= 1
+        if self._draining and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
-            answer = await self._answer(request)
+            answer = await self._run(request)
         except RequestError as error:
             return problem(error)
         except Exception as error:  # a bug must not cost the connection
             log.exception('A request failed.')
             return problem(InternalRequestError(str(error)))
         try:
-            return await respond(request, answer)
+            return await respond(request, answer, closing=self._draining)
         except RequestError as error:
             log.debug("An answer was cut: '{}'.", error.code)
             reset(request)
@@ -91,7 +150,7 @@
         finally:
             await close_stream(answer.body)
 
-    async def _answer(self, request: web.BaseRequest) -> Answer:
+    async def _run(self, request: web.BaseRequest) -> Answer:
         call = await classify(
             request,
             self._configuration,
--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from typing import Final
 
 from lycheespar.errors import BodySequenceError, LycheesparError
 from lycheespar.protocol.body import BodyReceiver, SendWindow, split
@@ -17,6 +18,8 @@
 from lycheespar.protocol.sockets import tune_socket
 from lycheespar.streams import close_stream
 
+CLOSE_TIMEOUT_S: Final = 1
+
 
 class FrameConnection:
     """A TCP connection that carries frames and streamed bodies.
@@ -58,6 +61,14 @@
         """Close the connection at once; what is buffered is not sent."""
         self._writer.transport.abort()
 
+    async def wait_closed(self) -> None:
+        """Wait for a bounded time until the connection is closed."""
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._writer.wait_closed()
+        except OSError:
+            return
+
     def open_receiver(
         self,
         call_id: bytes,
--- a/lycheespar/routing/pool.py
+++ b/lycheespar/routing/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lycheespar.call import Execution
 from lycheespar.membership.records import MemberRecord
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.remote import RemoteNode
@@ -26,7 +27,7 @@
         self._hello = hello
         self._nodes: dict[str, tuple[int, RemoteNode]] = {}
 
-    async def get(self, record: MemberRecord) -> RemoteNode:
+    async def get(self, record: MemberRecord) -> Execution:
         """Return the execution at a node; it opens its channel when used."""
         incarnation, remote = self._nodes.get(record.node, (None, None))
         if remote is not None and incarnation == record.incarnation:
