--- a/lycheespar/configuration/changes.py
+++ b/lycheespar/configuration/changes.py
@@ -18,6 +18,8 @@
 )
 from lycheespar.errors import ChangeInvalidError
 
+# Longest time in seconds for which an idempotency key may be remembered.
+MAX_KEY_RETENTION_S: Final = 3600
 # Lowest and highest value of each parameter, in the parameter's own unit.
 PARAMETER_LIMITS: Final = {
     'deadline_ms': (1, 600_000),
@@ -28,7 +30,7 @@
     'retry_share': (0, 1),
     'hedge_after_ms': (0, 60_000),
     'probe_budget_ms_per_s': (0, 100),
-    'key_retention_s': (1, 86_400),
+    'key_retention_s': (1, MAX_KEY_RETENTION_S),
 }
 
 
--- a/lycheespar/control/claims.py
+++ b/lycheespar/control/claims.py
@@ -19,12 +19,11 @@
 import msgspec
 from loguru import logger
 
+from lycheespar.configuration.changes import MAX_KEY_RETENTION_S
 from lycheespar.control.claims_file import Birth, ClaimsFile
 from lycheespar.control.messages import Claim, ClaimReply, Failure, Release
 from lycheespar.errors import ClaimsAbstainError, StorageError
 
-# Longest time for which a claim holds, in seconds.
-MAX_RETENTION_S: Final = 3600
 # Time in seconds within which claims expire together.
 SLOT_S: Final = 10
 # Records in the file beyond twice the live ones at which it is rewritten.
@@ -85,7 +84,7 @@
         self._synced: asyncio.Future[None] | None = None
         self._slots: dict[int, list[bytes]] = {}
         now = time.monotonic()
-        self._abstain_until = now + MAX_RETENTION_S
+        self._abstain_until = now + MAX_KEY_RETENTION_S
         for message in self._file.read():
             self._apply(message, now)
 
@@ -148,7 +147,7 @@
     def _apply(self, message: Claim | Release, now: float) -> None:
         match message:
             case Claim(key, retention_s=retention_s):
-                expires_at = now + min(retention_s, MAX_RETENTION_S)
+                expires_at = now + min(retention_s, MAX_KEY_RETENTION_S)
                 self._held.setdefault(key, _Held(message, expires_at))
                 slot = int(expires_at / SLOT_S) + 1
                 self._slots.setdefault(slot, []).append(key)
--- /dev/null
+++ b/lycheespar/tests/configuration/changes_tests.py
@@ -0,0 +1,28 @@
+"""Tests of changes and their validation."""
+
+from __future__ import annotations
+
+from lycheespar.configuration.changes import (
+    MAX_KEY_RETENTION_S,
+    PutTemplate,
+    problems_of,
+)
+from lycheespar.configuration.model import (
+    Configuration,
+    Parameters,
+    Template,
+)
+
+
+def _problems(retention_s: float) -> tuple[str, ...]:
+    template = Template(
+        'records',
+        parameters=Parameters(key_retention_s=retention_s),
+    )
+    return problems_of(Configuration(), PutTemplate(template))
+
+
+def test_no_key_is_promised_for_longer_than_its_claim_holds():
+    assert not _problems(MAX_KEY_RETENTION_S)
+    (problem,) = _problems(MAX_KEY_RETENTION_S + 1)
+    assert problem.startswith('parameters.key_retention_s: ')
--- a/lycheespar/tests/control/claims_tests.py
+++ b/lycheespar/tests/control/claims_tests.py
@@ -82,7 +82,7 @@
     monkeypatch.setattr('time.monotonic', lambda: now[0])
     host = _host(tmp_path, founder=False)
     assert await _holder(host, b'a') == 'claims_abstain'
-    now[0] += claims.MAX_RETENTION_S - 1
+    now[0] += claims.MAX_KEY_RETENTION_S - 1
     assert await _holder(host, b'a') == 'claims_abstain'
     now[0] += 2
     assert await _holder(host, b'a') == b'a'
