--- a/lycheespar/tests/whole/faults.py
+++ b/lycheespar/tests/whole/faults.py
@@ -87,6 +87,8 @@
         self.absences: list[Absence] = []
         self.accepted: list[int] = []
         self.faults: list[str] = []
+        self._schedule = random.Random(seed)
+        # Apart, since the number of requests is not the same in each run.
         self._random = random.Random(seed)
         self._numbers = itertools.count()
         self._links: list[Link] = []
@@ -140,7 +142,7 @@
         ]
         for _ in range(faults):
             await self._fault(session)
-            await asyncio.sleep(self._random.uniform(0, 1))
+            await asyncio.sleep(self._schedule.uniform(0, 1))
         self._stopped.set()
         await asyncio.gather(*callers)
 
@@ -214,7 +216,7 @@
 
     async def _fault(self, session: aiohttp.ClientSession) -> None:
         """Let one fault, drawn from the seed, happen and end."""
-        name = self._random.choice(
+        name = self._schedule.choice(
             (
                 'kill_node',
                 'kill_target',
@@ -229,28 +231,28 @@
         self.faults.append(name)
         match name:
             case 'kill_node':
-                node = self._random.choice(list(self.cluster.nodes.values()))
+                node = self._schedule.choice(list(self.cluster.nodes.values()))
                 self.cluster.processes[node.name].kill()
                 await asyncio.sleep(PAUSE_S)
                 self.cluster.start_node(node)
             case 'kill_target':
-                plan = self._random.choice(list(self.cluster.targets.values()))
+                plan = self._schedule.choice(list(self.cluster.targets.values()))
                 self.cluster.processes[plan.name].kill()
                 await asyncio.sleep(PAUSE_S)
                 self.cluster.start_target(plan)
             case 'freeze_node':
                 await self._freeze(
-                    self._random.choice(list(self.cluster.nodes))
+                    self._schedule.choice(list(self.cluster.nodes))
                 )
             case 'silence_link':
-                self._random.choice(self._links).silence()
+                self._schedule.choice(self._links).silence()
             case 'data_centre_out':
                 await self._leave_and_return(session)
             case _:
                 await self._disturb_control(name)
 
     async def _disturb_control(self, name: str) -> None:
-        host = self._random.choice(list(self.cluster.control_peers))
+        host = self._schedule.choice(list(self.cluster.control_peers))
         if name == 'freeze_control':
             await self._freeze(host)
             return
@@ -284,11 +286,11 @@
     async def _freeze(self, name: str) -> None:
         process = self.cluster.processes[name]
         process.send(signal.SIGSTOP)
-        await asyncio.sleep(self._random.uniform(1, 3))
+        await asyncio.sleep(self._schedule.uniform(1, 3))
         process.send(signal.SIGCONT)
 
     async def _leave_and_return(self, session: aiohttp.ClientSession) -> None:
-        name = self._random.choice(DATA_CENTRES)
+        name = self._schedule.choice(DATA_CENTRES)
         await self.change(session, 'take_out_data_centre', name=name)
         absence = Absence(name, time.monotonic())
         self.absences.append(absence)
