--- a/lycheespar/commands/operators.py
+++ b/lycheespar/commands/operators.py
@@ -21,8 +21,10 @@
     PutTemplate,
 )
 from lycheespar.configuration.model import Team, Template
+from lycheespar.control.state import AcceptedChange
 from lycheespar.control.status import StatusReport
 from lycheespar.errors import (
+    ChangeConflictError,
     ChangeInvalidError,
     ControlError,
     NoQuorumError,
@@ -119,14 +121,7 @@
         _print_json(builtins_of(history))
         return
     for accepted in history:
-        command = accepted.command
-        change = builtins_of(command.change)
-        kind = change.pop('type')
-        named = change.get('name') or next(iter(change.values()))['name']
-        click.echo(
-            f'{accepted.revision} {command.operator} {kind} {named} '
-            + f'({command.change_id})',
-        )
+        click.echo(_history_line(accepted))
 
 
 async def _make_change(options: Options, change: Change) -> None:
@@ -147,6 +142,8 @@
             f'{error.detail}; to learn the outcome repeat the command with '
             + f'--change-id {command.change_id} --base-revision {base}',
         ) from error
+    except ChangeConflictError as error:
+        raise await _explained(client, error, base) from error
     if options.wait:
         status = await _in_force(client, revision, options.timeout_s)
     else:
@@ -154,6 +151,25 @@
     _print_change(options, command, status)
 
 
+async def _explained(
+    client: ApiClient,
+    error: ChangeConflictError,
+    base: int,
+) -> ChangeConflictError:
+    """Return a conflict that shows what was accepted since the base."""
+    try:
+        history = await client.history()
+    except ControlError:
+        return error
+    lines = [
+        _history_line(accepted)
+        for accepted in history
+        if accepted.revision > base
+    ]
+    detail = '\n'.join((f'{error.detail}; accepted since:', *lines))
+    return ChangeConflictError(detail, error.revision)
+
+
 async def _in_force(
     client: ApiClient,
     revision: int,
@@ -183,6 +199,17 @@
         raise ChangeInvalidError((f'{path}: {error}',)) from error
 
 
+def _history_line(accepted: AcceptedChange) -> str:
+    command = accepted.command
+    change = builtins_of(command.change)
+    kind = change.pop('type')
+    named = change.get('name') or next(iter(change.values()))['name']
+    return (
+        f'{accepted.revision} {command.operator} {kind} {named} '
+        + f'({command.change_id})'
+    )
+
+
 def _print_change(
     options: Options,
     command: Command,
--- a/lycheespar/tests/commands/operators_tests.py
+++ b/lycheespar/tests/commands/operators_tests.py
@@ -112,11 +112,16 @@
     assert len(lines) == 4
 
 
-async def test_an_older_base_revision_is_a_conflict(api):
-    await api.run('take-out', 'target', 'one')
-    result = await api.run('take-out', 'target', 'two', '--base-revision', '0')
+async def test_a_conflict_shows_what_was_accepted_since(api):
+    await api.run(
+        'take-out', 'target', 'a', '--operator', 'ann', '--change-id', 'x'
+    )
+    result = await api.run('take-out', 'target', 'b', '--base-revision', '0')
     assert result.exit_code == 4
-    assert result.stderr == 'conflict: the current revision is 1\n'
+    assert result.stderr.splitlines() == [
+        'conflict: the current revision is 1; accepted since:',
+        '1 ann take_out_target a (x)',
+    ]
 
 
 async def test_a_change_id_takes_effect_once(api):
--- a/lycheespar/tests/control/group_tests.py
+++ b/lycheespar/tests/control/group_tests.py
@@ -366,3 +366,18 @@
     leader = await hosts.ready()
     assert (await leader.group.read()).revision == 2
     await until(lambda: replaced.admitted)
+
+
+async def test_a_group_grows_by_hosts_that_are_configured_later(tmp_path):
+    small = Hosts(tmp_path, 3)
+    small.start()
+    await small.whole()
+    assert await _accept(small, 'before') == 1
+    small.stop()
+    large = Hosts(tmp_path, 5)
+    large.start()
+    await large.whole()
+    for host in large.all[:2]:
+        host.crash()
+    assert await _accept(large, 'after') == 2
+    large.stop()
