Connections to the target: tests of what is sent, cut, cancelled and silent

Cause: none of the client's promises had a test; the library also added a Content-Type to requests without a body.

The tests of the whole path now wait for the configuration itself: once in three runs on a busy machine the status answered before a leader did.

--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -38,7 +38,12 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
 )
-_NOT_ADDED: Final = (hdrs.ACCEPT, hdrs.ACCEPT_ENCODING, hdrs.USER_AGENT)
+_NOT_ADDED: Final = (
+    hdrs.ACCEPT,
+    hdrs.ACCEPT_ENCODING,
+    hdrs.CONTENT_TYPE,
+    hdrs.USER_AGENT,
+)
 _EMPTY_STATUSES: Final = frozenset((204, 304))
 
 
--- a/lycheespar/tests/admission/executor_tests.py
+++ b/lycheespar/tests/admission/executor_tests.py
@@ -8,6 +8,7 @@
 
 from lycheespar.call import Answer
 from lycheespar.errors import (
+    DeadlineExceededError,
     DrainingError,
     OutOfServiceError,
     OverloadedError,
@@ -16,6 +17,7 @@
 )
 from lycheespar.tests.admission.calls import Beside, configuration, make_call
 from standins.cluster import wait_until
+from standins.link import Link
 
 COLD = {'slots': 12, 'cold_slots': 2, 'service_ms': 3}
 
@@ -199,3 +201,22 @@
     answer = await pair.run(make_call(idempotent=False))
     assert answer.status == 503
     assert ('Retry-After', '7') in answer.headers
+
+
+async def test_silent_connections_are_replaced_after_the_first_timeout(
+    beside,
+):
+    pair = beside(service_ms=5)
+    await pair.start()
+    link = Link(pair.target.plan.host, pair.target.plan.port)
+    await link.start()
+    pair.announce(address='{}:{}'.format(*link.address))
+    pair.view.replace(configuration(2, cold_share=1))
+    await asyncio.gather(*(pair.run(make_call()) for _ in range(4)))
+    assert link.accepted == 4
+    link.silence()
+    late = await pair.run(make_call(budget_s=0.3))
+    assert isinstance(late, DeadlineExceededError)
+    answers = [await pair.run(make_call(budget_s=3)) for _ in range(4)]
+    assert [answer.status for answer in answers] == [200] * 4
+    await link.stop()
--- /dev/null
+++ b/lycheespar/tests/targets/client_tests.py
@@ -0,0 +1,224 @@
+"""Tests of the connections to the target."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import pytest
+
+from lycheespar.call import Answer, Load
+from lycheespar.errors import (
+    BadRequestError,
+    CallerLostError,
+    DeadlineExceededError,
+    TargetLostError,
+    TruncatedAnswerError,
+)
+from lycheespar.targets.announcement import Announcement
+from lycheespar.targets.client import TargetClient
+from lycheespar.tests.admission.calls import make_call
+from standins.cluster import wait_until
+
+Script = Callable[[asyncio.StreamWriter, bytes], Awaitable[None]]
+LARGE = 300_000
+
+
+class ScriptedTarget:
+    """HTTP server that answers each request as a script says."""
+
+    def __init__(self, script: Script) -> None:
+        """Keep the script; `start` opens the port."""
+        self.heads: list[bytes] = []
+        self.connections = 0
+        self.open = 0
+        self._script = script
+        self.address = ''
+
+    async def start(self) -> None:
+        """Open the port."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1')
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.connections += 1
+        self.open += 1
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                self.heads.append(head)
+                await self._script(writer, head)
+        except (OSError, EOFError):
+            return
+        finally:
+            self.open -= 1
+            writer.close()
+
+
+def _answer(head: str, body: bytes = b'', *, close: bool = False) -> Script:
+    async def script(writer: asyncio.StreamWriter, _: bytes) -> None:
+        writer.write(f'HTTP/1.1 {head}\r\n\r\n'.encode() + body)
+        await writer.drain()
+        if close:
+            writer.close()
+
+    return script
+
+
+async def _break(writer: asyncio.StreamWriter, _: bytes) -> None:
+    writer.close()
+
+
+async def _stay_silent(writer: asyncio.StreamWriter, _: bytes) -> None:
+    await writer.drain()
+
+
+@pytest.fixture
+async def connect():
+    """Return a function that builds a client of a scripted target."""
+    clients: list[TargetClient] = []
+
+    async def build(script: Script) -> tuple[ScriptedTarget, TargetClient]:
+        target = ScriptedTarget(script)
+        await target.start()
+        announced = Announcement('one', 'a', 'b', target.address)
+        clients.append(TargetClient(announced))
+        return target, clients[-1]
+
+    yield build
+    for client in clients:
+        await client.close()
+
+
+async def _read(answer: Answer) -> bytes:
+    if isinstance(answer.body, bytes):
+        return answer.body
+    return b''.join([chunk async for chunk in answer.body])
+
+
+@pytest.mark.parametrize('method', ['GET', 'PUT', 'DELETE', 'POST'])
+async def test_a_request_is_sent_once_when_its_connection_breaks(
+    connect, method
+):
+    target, client = await connect(_break)
+    with pytest.raises(TargetLostError):
+        await client.send(make_call(method=method), Load())
+    assert len(target.heads) == 1
+
+
+async def test_a_connection_whose_request_timed_out_is_closed(connect):
+    target, client = await connect(_stay_silent)
+    with pytest.raises(DeadlineExceededError):
+        await client.send(make_call(budget_s=0.05), Load())
+    await wait_until(lambda: not target.open)
+
+
+async def test_a_connection_whose_request_was_cancelled_is_closed(connect):
+    target, client = await connect(_stay_silent)
+    task = asyncio.create_task(client.send(make_call(), Load()))
+    await wait_until(lambda: target.heads)
+    task.cancel()
+    await wait_until(lambda: not target.open)
+
+
+async def test_a_connection_with_a_whole_answer_is_used_again(connect):
+    target, client = await connect(_answer('200 OK\r\nContent-Length: 0'))
+    for _ in range(3):
+        await client.send(make_call(), Load())
+    assert target.connections == 1
+
+
+@pytest.mark.parametrize('size', [100, LARGE])
+@pytest.mark.parametrize('framing', ['length', 'chunks'])
+async def test_a_cut_body_is_never_a_short_success(connect, size, framing):
+    if framing == 'length':
+        head = f'200 OK\r\nContent-Length: {size}'
+        body = b'x' * (size - 1)
+    else:
+        head = '200 OK\r\nTransfer-Encoding: chunked'
+        body = f'{size:x}\r\n'.encode() + b'x' * size + b'\r\n'
+    _, client = await connect(_answer(head, body, close=True))
+    with pytest.raises(TruncatedAnswerError):
+        await _read(await client.send(make_call(), Load()))
+
+
+@pytest.mark.parametrize(
+    ('method', 'head'),
+    [
+        ('HEAD', '200 OK\r\nContent-Length: 500000'),
+        ('HEAD', '200 OK\r\nTransfer-Encoding: chunked'),
+        ('GET', '204 No Content'),
+        ('GET', '304 Not Modified\r\nContent-Length: 500000'),
+    ],
+)
+async def test_answers_without_a_body_do_not_wait_for_one(
+    connect, method, head
+):
+    target, client = await connect(_answer(head))
+    for _ in range(2):
+        answer = await client.send(make_call(method=method), Load())
+        assert answer.body == b''
+    assert target.connections == 1
+
+
+async def test_a_body_without_a_length_ends_with_its_connection(connect):
+    _, client = await connect(_answer('200 OK', b'x' * LARGE, close=True))
+    answer = await client.send(make_call(), Load())
+    assert len(await _read(answer)) == LARGE
+
+
+async def test_the_target_is_told_the_time_that_is_left(connect):
+    target, client = await connect(_answer('200 OK\r\nContent-Length: 0'))
+    call = make_call(budget_s=2)
+    call.headers = (('x-deadline-ms', '999999'), ('Host', 'b.a'))
+    await client.send(call, Load())
+    lines = target.heads[0].decode().lower().split('\r\n')
+    told = [line for line in lines if line.startswith('x-deadline-ms')]
+    assert 0 < int(told[0].partition(': ')[2]) <= 2000
+    assert len(told) == 1
+    assert 'host: b.a' in lines
+
+
+async def test_headers_of_one_connection_are_not_passed_on(connect):
+    head = '200 OK\r\nContent-Length: 0\r\nConnection: X-Own\r\nX-Own: 1'
+    _, client = await connect(_answer(head))
+    answer = await client.send(make_call(), Load())
+    assert answer.headers == (('Content-Length', '0'),)
+
+
+async def _cut_body() -> AsyncIterator[bytes]:
+    yield b'x' * 1000
+    raise BadRequestError('the caller left')
+
+
+async def test_a_body_that_its_caller_cut_is_not_held_against_the_target(
+    connect,
+):
+    target, client = await connect(_stay_silent)
+    call = make_call(method='POST', body=_cut_body())
+    with pytest.raises(CallerLostError):
+        await client.send(call, Load())
+    await wait_until(lambda: not target.open)
+
+
+async def test_a_retired_client_serves_its_calls_to_the_end(connect):
+    release = asyncio.Event()
+
+    async def script(writer: asyncio.StreamWriter, _: bytes) -> None:
+        await release.wait()
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+
+    target, client = await connect(script)
+    task = asyncio.create_task(client.send(make_call(), Load()))
+    await wait_until(lambda: target.heads)
+    retiring = asyncio.create_task(client.retire())
+    await asyncio.sleep(0)
+    release.set()
+    assert (await task).status == 200
+    await retiring
+    await wait_until(lambda: not target.open)
--- a/lycheespar/tests/whole/service.py
+++ b/lycheespar/tests/whole/service.py
@@ -18,7 +18,7 @@
     **parameters: float,
 ) -> None:
     """Create the service with parameters that differ from the defaults."""
-    await wait_until(lambda: answers(session, f'{api}/v1/status', ''))
+    await wait_until(lambda: answers(session, f'{api}/v1/configuration', ''))
     template = {'name': 'delivery', 'routes': routes}
     await change(session, api, 'put_template', template=template)
     service = {'template': 'delivery', 'parameters': parameters}
