Probes of the load endpoint within a budget of milliseconds a second

Cause: nothing told a node how its idle target is, and probe_budget_ms_per_s had no effect.

Change: the own node probes load_path only, only while no call ended for 1 s, and pays the real duration of each probe, at least 6 ms, from a token bucket that holds one probe. A hanging probe ends after 250 ms and is paid for. A refused probe begins a cold start. The reported number fills in the load that other nodes see; admission never follows it, so a lying endpoint refuses nothing. Time, bytes and failures are counted.

Ruled out: lowering the limit by the reported number; an endpoint that lags or lies would then take capacity away.

--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -7,8 +7,9 @@
 
 from loguru import logger
 
-from lycheespar.admission.gate import MS_PER_S, Gate
-from lycheespar.admission.limiter import GateLimits, Limiter
+from lycheespar.admission.gate import Gate
+from lycheespar.admission.limiter import Limiter, gate_limits
+from lycheespar.admission.reported import ReportedLoad
 from lycheespar.call import Answer, Call, Load
 from lycheespar.configuration.model import Configuration, Parameters
 from lycheespar.configuration.view import ConfigurationView
@@ -62,7 +63,9 @@
         '_drained_at',
         '_gate',
         '_limiter',
+        '_parameters',
         '_reconnected_at',
+        '_reported',
         '_stale_after_s',
         '_target',
     )
@@ -83,6 +86,8 @@
         self._gate = Gate(self._limiter)
         self._client: TargetClient | None = None
         self._announced: Announcement | None = None
+        self._parameters = Parameters()
+        self._reported = ReportedLoad()
         self._drained_at = float('inf')
         self._reconnected_at = float('-inf')
         self._closing: set[asyncio.Task[None]] = set()
@@ -92,13 +97,27 @@
     @property
     def load(self) -> Load:
         """Load of the target now."""
-        return self._gate.load
+        return self._reported.merge(self._gate.load, _now())
 
     @property
     def idle(self) -> bool:
         """Whether no call runs or waits."""
         return self._gate.idle
 
+    @property
+    def quiet_s(self) -> float:
+        """Seconds since a call last ended."""
+        return _now() - self._gate.left_at
+
+    @property
+    def probe_budget_ms_per_s(self) -> float:
+        """Time that probes may cost, in milliseconds a second."""
+        return self._parameters.probe_budget_ms_per_s
+
+    def report(self, running: int) -> None:
+        """Take the number of requests that the target says it runs."""
+        self._reported = ReportedLoad(running, _now())
+
     async def execute(self, call: Call) -> Answer:
         """Run a call at the target.
 
@@ -220,7 +239,7 @@
             self._gate.refuse_waiting(TargetGoneError)
             return
         log.info("Target '{}' is {}.", announcement.target, announcement.phase)
-        if known is None or _identity(known) != _identity(announcement):
+        if known is None or known.start != announcement.start:
             self._replace_client(TargetClient(announcement))
             self._limiter.restart(_now())
         elif announcement.state is Phase.cold and known.state is not Phase.cold:
@@ -243,8 +262,10 @@
         if announced is None:
             return
         service = self._configuration.services.get(announced.service_name)
-        parameters = Parameters() if service is None else service.parameters
-        self._gate.configure(_limits(announced, parameters))
+        self._parameters = (
+            Parameters() if service is None else service.parameters
+        )
+        self._gate.configure(gate_limits(announced.slots, self._parameters))
         if self._configuration.is_out(self._data_centre, announced.target):
             self._gate.refuse_waiting(OutOfServiceError)
 
@@ -268,22 +289,3 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
-
-
-def _identity(announcement: Announcement) -> tuple[str, str, str]:
-    """Return what differs between two starts of a target."""
-    return (
-        announcement.target,
-        announcement.incarnation,
-        announcement.address,
-    )
-
-
-def _limits(announced: Announcement, parameters: Parameters) -> GateLimits:
-    return GateLimits(
-        slots=announced.slots,
-        queue_limit=parameters.queue_limit,
-        queue_s=parameters.queue_ms / MS_PER_S,
-        cold_start_s=parameters.cold_start_s,
-        cold_share=parameters.cold_share,
-    )
--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -29,11 +29,19 @@
         Says how many calls may run at once.
     """
 
-    __slots__ = ('_hold', '_limiter', '_limits', '_queue', '_running')
+    __slots__ = (
+        '_hold',
+        '_left_at',
+        '_limiter',
+        '_limits',
+        '_queue',
+        '_running',
+    )
 
     def __init__(self, limiter: Limiter) -> None:
         """Start empty, with one slot."""
         self._running = 0
+        self._left_at = float('-inf')
         self._queue = WaitingQueue()
         self._hold = LatencyEstimate()
         self._limiter = limiter
@@ -49,6 +57,11 @@
         """Calls that run now."""
         return self._running
 
+    @property
+    def left_at(self) -> float:
+        """Instant in seconds when a call last gave its place back."""
+        return self._left_at
+
     @property
     def load(self) -> Load:
         """Load of the target now."""
@@ -104,7 +117,8 @@
     def leave(self, held_s: float) -> None:
         """Give a place back that a call held for so many seconds."""
         self._running -= 1
-        self._hold.add(held_s, _now())
+        self._left_at = _now()
+        self._hold.add(held_s, self._left_at)
         self._admit_waiting()
 
     def _check_deadline(self, call: Call, now: float, wait_s: float) -> None:
--- a/lycheespar/admission/limiter.py
+++ b/lycheespar/admission/limiter.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import msgspec
 
 from lycheespar.admission.failures import FailureTracker
 from lycheespar.admission.latency import LatencyTable
 from lycheespar.admission.limit import TOLERANCE, AdaptiveLimit
 from lycheespar.admission.ramp import ColdStartRamp
+from lycheespar.configuration.model import Parameters
+
+MS_PER_S: Final = 1000
 
 
 class GateLimits(msgspec.Struct, frozen=True):
@@ -34,6 +39,17 @@
     cold_share: float = 1
 
 
+def gate_limits(slots: int, parameters: Parameters) -> GateLimits:
+    """Return the bounds that a service's parameters set."""
+    return GateLimits(
+        slots=slots,
+        queue_limit=parameters.queue_limit,
+        queue_s=parameters.queue_ms / MS_PER_S,
+        cold_start_s=parameters.cold_start_s,
+        cold_share=parameters.cold_share,
+    )
+
+
 class Limiter:
     """Joins cold start, latency and failures into one limit.
 
--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -32,6 +32,7 @@
 from lycheespar.routing.router import Router
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.api import AnnouncementApi
+from lycheespar.targets.probes import Prober
 
 log = logger.bind(part='app')
 
@@ -84,6 +85,7 @@
             settings.data_centre,
             float('inf') if settings.serve_stale else settings.stale_after_s,
         )
+        self._prober = Prober(self._target, self._executor)
         self._pool = ChannelPool(hello, settings.inner.host)
         self._router = Router(
             settings.name,
@@ -117,21 +119,27 @@
         )
         follower.start()
         await self._gossip.start()
+        await self._start()
+        log.info("Node '{}' serves.", settings.name)
+        await stopped.wait()
+        await self._stop()
+        follower.stop()
+        await self._gossip.stop()
+        context.destroy(linger=0)
+        log.info("Node '{}' has stopped.", settings.name)
+
+    async def _start(self) -> None:
+        """Open the ports; the callers' port once callers can be served."""
+        settings = self._settings
         await self._channels.start(settings.inner.host, settings.inner.port)
         await self._announcements.start(settings.announce)
+        self._prober.start()
         await wait_until_current(
             self._configuration,
             self._members,
             settings.stale_after_s,
         )
         await self._ingress.start(settings.http)
-        log.info("Node '{}' serves.", settings.name)
-        await stopped.wait()
-        await self._stop()
-        follower.stop()
-        await self._gossip.stop()
-        context.destroy(linger=0)
-        log.info("Node '{}' has stopped.", settings.name)
 
     async def _stop(self) -> None:
         """Finish what is under way, then close the request path."""
@@ -142,6 +150,7 @@
             self._channels,
             self._settings.drain_s,
         ).run()
+        await self._prober.stop()
         await self._pool.close()
         await self._executor.close()
         await self._announcements.stop()
--- a/lycheespar/targets/announcement.py
+++ b/lycheespar/targets/announcement.py
@@ -54,6 +54,11 @@
         """``team/service``."""
         return f'{self.team}/{self.service}'
 
+    @property
+    def start(self) -> tuple[str, str, str]:
+        """What differs between two starts of a target."""
+        return (self.target, self.incarnation, self.address)
+
     @property
     def state(self) -> Phase:
         """Phase as the nodes tell each other."""
--- /dev/null
+++ b/lycheespar/tests/targets/probes_tests.py
@@ -0,0 +1,111 @@
+"""Tests of the probes and their budget."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheespar.targets import probes
+from lycheespar.targets.probes import (
+    PROBE_COST_MS,
+    PROBE_TIMEOUT_S,
+    ProbeBudget,
+    Prober,
+)
+from lycheespar.tests.admission.calls import Beside, configuration, make_call
+from standins.cluster import wait_until
+
+
+@given(
+    st.floats(0, 100),
+    st.lists(st.tuples(st.floats(0, 3), st.floats(0, 300)), max_size=100),
+)
+def test_probes_cost_no_more_than_the_budget(rate, steps):
+    budget = ProbeBudget(0)
+    budget.configure(rate, 0)
+    now = 0.0
+    spent_ms = 0.0
+    for pause_s, cost_ms in steps:
+        now += pause_s
+        if budget.wait_s(now) == 0:
+            earned_ms = rate * now + PROBE_COST_MS
+            assert spent_ms + PROBE_COST_MS <= earned_ms + 0.001
+            paid_ms = max(cost_ms, PROBE_COST_MS)
+            budget.spend(paid_ms)
+            spent_ms += paid_ms
+
+
+@pytest.fixture
+async def beside(monkeypatch):
+    """Run a target that is probed as soon as no call ends for 50 ms."""
+    monkeypatch.setattr(probes, 'QUIET_S', 0.05)
+    monkeypatch.setattr(probes, 'SHORTEST_POLL_S', 0.01)
+    pair = Beside(slots=12)
+    await pair.start(probe_budget_ms_per_s=100, cold_start_s=0.1)
+    pair.prober = Prober(pair.local, pair.executor)
+    yield pair
+    await pair.prober.stop()
+    await pair.stop()
+
+
+async def test_an_idle_target_is_probed_within_its_budget(beside):
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    beside.prober.start()
+    await wait_until(lambda: beside.target.probes >= 10)
+    counts = beside.prober.counts
+    bound_ms = 100 * (loop.time() - began_at) + PROBE_COST_MS
+    assert counts.cost_ms <= bound_ms
+    assert counts.probes * PROBE_COST_MS <= bound_ms
+    assert counts.link_bytes > 0
+
+
+async def test_without_a_budget_nothing_is_probed(beside):
+    beside.view.replace(configuration(2, probe_budget_ms_per_s=0))
+    beside.prober._budget.spend(PROBE_COST_MS)
+    beside.prober.start()
+    await asyncio.sleep(0.2)
+    assert beside.target.probes == 0
+
+
+async def test_a_busy_target_is_not_probed(beside):
+    await beside.run(make_call())
+    beside.prober.start()
+    for _ in range(20):
+        await beside.run(make_call())
+    assert beside.target.probes == 0
+
+
+async def test_a_probe_that_hangs_is_cut_and_paid_for(beside):
+    beside.target.load_frozen = True
+    beside.prober.start()
+    await wait_until(lambda: beside.prober.counts.failures)
+    counts = beside.prober.counts
+    assert counts.cost_ms >= PROBE_TIMEOUT_S * 1000
+    now = asyncio.get_running_loop().time()
+    assert beside.prober._budget.wait_s(now) > 2
+    assert (await beside.run(make_call())).status == 200
+
+
+async def test_a_lying_load_endpoint_refuses_no_call(beside):
+    beside.view.replace(
+        configuration(2, probe_budget_ms_per_s=100, cold_share=1),
+    )
+    beside.target.load_lies = True
+    beside.prober.start()
+    await wait_until(lambda: beside.executor.load.running == 12)
+    answers = await asyncio.gather(
+        *(beside.run(make_call()) for _ in range(12)),
+    )
+    assert [answer.status for answer in answers] == [200] * 12
+
+
+async def test_a_probe_that_is_refused_begins_a_cold_start(beside):
+    await beside.warm()
+    assert beside.executor.load.limit == 12
+    await beside.target.stop()
+    beside.prober.start()
+    await wait_until(lambda: beside.executor.load.limit == 2)
