--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -5,12 +5,14 @@
 import asyncio
 import random
 import time
+from functools import partial
 from pathlib import Path
 
 import zmq.asyncio
 from loguru import logger
 from msgspec.structs import replace
 
+from lycheespar.admission.duplicates import DuplicateCheck
 from lycheespar.admission.executor import Executor
 from lycheespar.config.settings import ControlSettings, NodeSettings
 from lycheespar.configuration.model import Configuration
@@ -27,12 +29,14 @@
 from lycheespar.membership.view import MembershipView
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
+from lycheespar.routing.attempts import Attempts
 from lycheespar.routing.picker import Picker
-from lycheespar.routing.pool import ChannelPool
 from lycheespar.routing.router import Router
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.api import AnnouncementApi
 from lycheespar.targets.probes import Prober
+from lycheespar.telemetry.gauges import node_gauges
+from lycheespar.telemetry.parts import Telemetry
 
 log = logger.bind(part='app')
 
@@ -50,6 +54,7 @@
         """Build the parts."""
         self._settings = settings
         incarnation = time.time_ns()
+        self._telemetry = Telemetry(settings)
         self._target = LocalTarget()
         self._saved = (
             SavedConfiguration(Path(settings.data_folder))
@@ -84,53 +89,71 @@
             self._configuration,
             settings.data_centre,
             float('inf') if settings.serve_stale else settings.stale_after_s,
+            self._telemetry.connect,
         )
         self._prober = Prober(self._target, self._executor)
-        self._pool = ChannelPool(hello, settings.inner.host)
+        execution = self._telemetry.around_execution(self._executor)
+        self._pool = self._telemetry.pool(hello, settings.inner.host)
         self._router = Router(
-            settings.name,
-            self._members,
+            Attempts(
+                settings.name,
+                self._members,
+                self._configuration,
+                execution,
+                self._pool,
+                Picker(settings.data_centre, random.Random()),
+            ),
             self._configuration,
-            self._executor,
-            self._pool,
-            Picker(settings.data_centre, random.Random()),
         )
-        self._ingress = IngressServer(self._configuration, self._router)
+        self._ingress = IngressServer(
+            self._configuration,
+            self._telemetry.around_dispatch(self._router),
+        )
         self._channels = ChannelServer(
-            self._executor,
+            DuplicateCheck(execution),
             lambda: self._executor.load,
             hello,
         )
         self._announcements = AnnouncementApi(self._target)
         self._target.changes.subscribe(self._publish)
+        self._telemetry.add_gauges(
+            partial(
+                node_gauges,
+                self._executor,
+                self._configuration,
+                self._members,
+            ),
+        )
 
     async def run(self, stopped: asyncio.Event) -> None:
         """Serve until told to stop, then drain."""
-        settings = self._settings
         context = zmq.asyncio.Context()
-        follower = ConfigurationFollower(
-            settings.name,
-            self._configuration,
-            [
-                ControlLink(context, address, ControlReply)
-                for address in settings.control.values()
-            ],
-            self._saved,
-        )
-        follower.start()
-        await self._gossip.start()
+        follower = self._follow(context)
         await self._start()
-        log.info("Node '{}' serves.", settings.name)
+        log.info("Node '{}' serves.", self._settings.name)
         await stopped.wait()
         await self._stop()
         follower.stop()
-        await self._gossip.stop()
         context.destroy(linger=0)
-        log.info("Node '{}' has stopped.", settings.name)
+        log.info("Node '{}' has stopped.", self._settings.name)
+
+    def _follow(self, context: zmq.asyncio.Context) -> ConfigurationFollower:
+        """Begin to follow the configuration."""
+        control = self._settings.control.values()
+        follower = ConfigurationFollower(
+            self._settings.name,
+            self._configuration,
+            [ControlLink(context, host, ControlReply) for host in control],
+            self._saved,
+        )
+        follower.start()
+        return follower
 
     async def _start(self) -> None:
-        """Open the ports; the callers' port once callers can be served."""
+        """Join the other nodes, then open the port for callers."""
         settings = self._settings
+        self._telemetry.start()
+        await self._gossip.start()
         await self._channels.start(settings.inner.host, settings.inner.port)
         await self._announcements.start(settings.announce)
         self._prober.start()
@@ -142,7 +165,7 @@
         await self._ingress.start(settings.http)
 
     async def _stop(self) -> None:
-        """Finish what is under way, then close the request path."""
+        """Finish what is under way, then close all ports."""
         await GracefulStop(
             self._target,
             self._executor,
@@ -154,6 +177,8 @@
         await self._pool.close()
         await self._executor.close()
         await self._announcements.stop()
+        await self._gossip.stop()
+        self._telemetry.stop()
 
     def _publish(self, announcement: Announcement | None) -> None:
         """Tell the other nodes about the local target."""
