--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -7,6 +7,7 @@
 
 from lycheespar.admission.latency import LatencyEstimate
 from lycheespar.admission.limiter import GateLimits, Limiter
+from lycheespar.admission.mix import AdmissionMix
 from lycheespar.admission.queue import Waiting, WaitingQueue
 from lycheespar.call import Call, Load
 from lycheespar.errors import (
@@ -34,6 +35,7 @@
         '_left_at',
         '_limiter',
         '_limits',
+        '_mix',
         '_queue',
         '_running',
     )
@@ -43,6 +45,7 @@
         self._running = 0
         self._left_at = float('-inf')
         self._queue = WaitingQueue()
+        self._mix = AdmissionMix()
         self._hold = LatencyEstimate()
         self._limiter = limiter
         self._limits = GateLimits()
@@ -107,7 +110,9 @@
             self._check_deadline(call, now, 0)
             self._running += 1
             return
-        wait_s = self._expected_wait_s(self._queue.ahead_of(call) + 1, now)
+        turns = self._queue.ahead_of(call) + 1
+        wait_s = self._expected_wait_s(turns, now)
+        wait_s *= self._mix.delay(call.weight)
         self._check_deadline(call, now, wait_s)
         if wait_s > self._limits.queue_s:
             raise self._overloaded()
@@ -180,6 +185,7 @@
                 waiting.refuse(error)
             else:
                 self._running += 1
+                self._mix.add(waiting.call.weight)
                 waiting.admit()
 
     def _overloaded(self) -> RefusedError:
--- /dev/null
+++ b/lycheespar/admission/mix.py
@@ -0,0 +1,36 @@
+"""Weights of the calls that were admitted lately."""
+
+from __future__ import annotations
+
+from typing import Final
+
+SAMPLE_WEIGHT: Final = 0.02
+# Largest share of heavier calls that the estimate of a wait allows for.
+LARGEST_SHARE: Final = 0.95
+
+
+class AdmissionMix:
+    """Says how often a waiting call is overtaken by heavier ones."""
+
+    __slots__ = ('_shares',)
+
+    def __init__(self) -> None:
+        """Start without calls."""
+        self._shares: dict[float, float] = {}
+
+    def add(self, weight: float) -> None:
+        """Count an admitted call."""
+        self._shares = {
+            known: share * (1 - SAMPLE_WEIGHT)
+            for known, share in self._shares.items()
+            if share > SAMPLE_WEIGHT**2
+        }
+        known_share = self._shares.get(weight, 0)
+        self._shares[weight] = known_share + SAMPLE_WEIGHT
+
+    def delay(self, weight: float) -> float:
+        """Return by which factor heavier calls lengthen a wait, at least 1."""
+        heavier = sum(
+            share for known, share in self._shares.items() if known > weight
+        )
+        return 1 / (1 - min(LARGEST_SHARE, heavier))
--- a/lycheespar/tests/admission/gate_tests.py
+++ b/lycheespar/tests/admission/gate_tests.py
@@ -188,3 +188,21 @@
     assert all(isinstance(end, RefusedError) for end in ends)
     gate.leave(0.001)
     assert gate.idle
+
+
+async def test_a_wait_that_heavier_calls_lengthen_is_refused_at_once():
+    gate = _gate(1, 8, queue_s=0.5)
+    await gate.enter(make_call())
+    for _ in range(200):
+        heavier = asyncio.create_task(gate.enter(make_call(2)))
+        await _settle()
+        gate.leave(0.2)
+        await heavier
+    waiting = asyncio.create_task(gate.enter(make_call(2)))
+    await _settle()
+    assert not waiting.done()
+    lighter = asyncio.create_task(gate.enter(make_call(1, budget_s=60)))
+    await _settle()
+    assert lighter.done()
+    assert isinstance(lighter.exception(), OverloadedError)
+    waiting.cancel()
