--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -108,6 +108,7 @@
         self._ingress = IngressServer(
             self._configuration,
             self._telemetry.around_dispatch(self._router),
+            settings.max_body_bytes,
         )
         self._channels = ChannelServer(
             DuplicateCheck(execution),
