--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -7,6 +7,7 @@
 
 from lycheespar.admission.latency import LatencyEstimate
 from lycheespar.admission.limiter import GateLimits, Limiter
+from lycheespar.admission.mix import AdmissionMix
 from lycheespar.admission.queue import Waiting, WaitingQueue
 from lycheespar.call import Call, Load
 from lycheespar.errors import (
@@ -29,12 +30,22 @@
         Says how many calls may run at once.
     """
 
-    __slots__ = ('_hold', '_limiter', '_limits', '_queue', '_running')
+    __slots__ = (
+        '_hold',
+        '_left_at',
+        '_limiter',
+        '_limits',
+        '_mix',
+        '_queue',
+        '_running',
+    )
 
     def __init__(self, limiter: Limiter) -> None:
         """Start empty, with one slot."""
         self._running = 0
+        self._left_at = float('-inf')
         self._queue = WaitingQueue()
+        self._mix = AdmissionMix()
         self._hold = LatencyEstimate()
         self._limiter = limiter
         self._limits = GateLimits()
@@ -49,6 +60,11 @@
         """Calls that run now."""
         return self._running
 
+    @property
+    def left_at(self) -> float:
+        """Instant in seconds when a call last gave its place back."""
+        return self._left_at
+
     @property
     def load(self) -> Load:
         """Load of the target now."""
@@ -94,7 +110,9 @@
             self._check_deadline(call, now, 0)
             self._running += 1
             return
-        wait_s = self._expected_wait_s(self._queue.ahead_of(call) + 1, now)
+        turns = self._queue.ahead_of(call) + 1
+        wait_s = self._expected_wait_s(turns, now)
+        wait_s *= self._mix.delay(call.weight)
         self._check_deadline(call, now, wait_s)
         if wait_s > self._limits.queue_s:
             raise self._overloaded()
@@ -104,7 +122,8 @@
     def leave(self, held_s: float) -> None:
         """Give a place back that a call held for so many seconds."""
         self._running -= 1
-        self._hold.add(held_s, _now())
+        self._left_at = _now()
+        self._hold.add(held_s, self._left_at)
         self._admit_waiting()
 
     def _check_deadline(self, call: Call, now: float, wait_s: float) -> None:
@@ -166,6 +185,7 @@
                 waiting.refuse(error)
             else:
                 self._running += 1
+                self._mix.add(waiting.call.weight)
                 waiting.admit()
 
     def _overloaded(self) -> RefusedError:
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -30,7 +30,12 @@
 # Time without a byte of a body after which its connection is given up.
 STALL_S: Final = 20
 MS_PER_S: Final = 1000
-_NOT_ADDED: Final = (hdrs.ACCEPT, hdrs.ACCEPT_ENCODING, hdrs.USER_AGENT)
+_NOT_ADDED: Final = (
+    hdrs.ACCEPT,
+    hdrs.ACCEPT_ENCODING,
+    hdrs.CONTENT_TYPE,
+    hdrs.USER_AGENT,
+)
 _EMPTY_STATUSES: Final = frozenset((204, 304))
 
 
