Channels: a call without acknowledgement no longer cuts the others

Cause: one call that is not acknowledged within 250 ms made its node abort the whole channel, and streamed bodies on it can't be taken up again. On a busy machine an alive node is that late: the rolling restart test lost one streamed answer (524288 of 1000000 bytes) and one streamed request in one of two runs. Ruled out: the graceful stop (the cut came from the calling side), the window of bodies.

--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -64,6 +64,7 @@
         '_peer',
         '_pending',
         '_reader',
+        '_retired',
         '_sending',
         '_task',
     )
@@ -78,7 +79,8 @@
         self._reader = reader
         self._connection = connection
         self._peer = peer
-        self._pending = PendingTable(peer.clock_ms, self._give_up_silent)
+        self._retired = False
+        self._pending = PendingTable(peer.clock_ms, self._retire)
         self._sending: dict[bytes, asyncio.Task[None]] = {}
         self._heartbeat = Heartbeat(
             connection,
@@ -91,7 +93,7 @@
     def usable(self) -> bool:
         """Whether calls may be sent on this channel."""
         lost = self._task.done() or self._connection.closing
-        return not lost and self._pending.fresh
+        return not (lost or self._retired) and self._pending.fresh
 
     @property
     def incarnation(self) -> int:
@@ -291,6 +293,11 @@
             self._connection.forget(call_id)
             self._connection.send(Cancel(call_id))
 
+    def _retire(self) -> None:
+        """Take no new calls; what makes progress here goes on to its end."""
+        self._retired = True
+        self._heartbeat.retire()
+
     def _give_up_silent(self) -> None:
         """Abandon the connection: its peer does not answer on it."""
         self._connection.abort()
--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -44,6 +44,11 @@
         """Whether the connection is closed or about to be."""
         return self._writer.is_closing()
 
+    @property
+    def sends_bodies(self) -> bool:
+        """Whether a streamed body is being sent."""
+        return bool(self._windows)
+
     def send(self, message: Message) -> None:
         """Send one message without waiting."""
         if not self._writer.is_closing():
--- a/lycheespar/protocol/pending.py
+++ b/lycheespar/protocol/pending.py
@@ -9,6 +9,7 @@
 from lycheespar.call import Answer, Call
 from lycheespar.errors import (
     ChannelLostError,
+    ChannelSilentError,
     RequestError,
     request_error,
 )
@@ -64,7 +65,8 @@
     clock_ms : int
         Clock of the other node as its first message gave it.
     on_silent : Callable[[], None]
-        Called if a call is not acknowledged within `ACCEPT_TIMEOUT_S`.
+        Called if calls are not acknowledged within `ACCEPT_TIMEOUT_S`; these
+        have failed then, the others go on.
 
     Attributes
     ----------
@@ -148,30 +150,39 @@
         if self._timer is not None:
             self._timer.cancel()
         for pending in self._calls.values():
-            if not pending.cancelled.done():
-                pending.cancelled.set_result(True)
-            if not pending.head.done():
-                lost = type(error)(accepted=pending.accepted)
-                pending.head.set_exception(lost)
-                # A call that only waits for its cancellation reads no head.
-                pending.head.exception()
+            _fail(pending, type(error)(accepted=pending.accepted))
 
     def _watch(self, delay_s: float) -> None:
         self._timer = self._loop.call_later(delay_s, self._check)
 
     def _check(self) -> None:
-        """Find calls that were not acknowledged in time."""
+        """Fail calls that were not acknowledged in time."""
         self._timer = None
+        newest = self._loop.time() - ACCEPT_TIMEOUT_S
+        overdue = [
+            call_id
+            for call_id, pending in self._unaccepted.items()
+            if pending.sent_at <= newest
+        ]
+        for call_id in overdue:
+            _fail(self._unaccepted.pop(call_id), ChannelSilentError())
         oldest = next(iter(self._unaccepted.values()), None)
-        if oldest is None:
-            return
-        left_s = oldest.sent_at + ACCEPT_TIMEOUT_S - self._loop.time()
-        if left_s > 0:
-            self._watch(left_s)
-        else:
+        if oldest is not None:
+            self._watch(max(0, oldest.sent_at - newest))
+        if overdue:
             self._on_silent()
 
 
+def _fail(pending: Pending, error: ChannelLostError) -> None:
+    """End a call whose channel was lost, unless it has ended."""
+    if not pending.cancelled.done():
+        pending.cancelled.set_result(True)
+    if not pending.head.done():
+        pending.head.set_exception(error)
+        # A call that only waits for its cancellation reads no head.
+        pending.head.exception()
+
+
 def _refusal(refused: Refused) -> RequestError:
     error = request_error(
         refused.code,
--- a/lycheespar/tests/protocol/remote_tests.py
+++ b/lycheespar/tests/protocol/remote_tests.py
@@ -53,6 +53,25 @@
         assert node.target.executions['/book'] == 1
 
 
+async def test_a_missing_acknowledgement_does_not_cut_a_stream():
+    async with running_node() as node:
+        may_go_on = asyncio.Event()
+
+        async def body():
+            yield b'first '
+            await may_go_on.wait()
+            yield b'last'
+
+        node.target.body = body()
+        answer = await node.remote.execute(new_call('/stream'))
+        node.target.body = b'whole'
+        node.link.silence(up=True, down=False)
+        await node.remote.execute(new_call())
+        may_go_on.set()
+        chunks = [chunk async for chunk in answer.body]
+        assert b''.join(chunks) == b'first last'
+
+
 async def test_a_channel_that_goes_silent_while_a_call_runs_is_replaced():
     async with running_node() as node:
         node.target.may_end.clear()
