--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import AsyncIterator
 from functools import partial
 from typing import Final
@@ -10,7 +11,6 @@
 from lycheespar.call import Answer, Call
 from lycheespar.errors import (
     ChannelClosedError,
-    ChannelConnectError,
     ChannelLostError,
     ChannelSilentError,
     DeadlineExceededError,
@@ -33,13 +33,13 @@
     Message,
     Ping,
     Pong,
+    Recall,
     Refused,
     ResponseHead,
 )
 from lycheespar.protocol.pending import Pending, PendingTable, request
 from lycheespar.streams import GuardedStream
 
-CONNECT_TIMEOUT_S: Final = 1
 # Time in seconds for which a late call waits for the outcome of its
 # cancellation.
 CANCEL_REPLY_S: Final = 0.05
@@ -64,8 +64,8 @@
         '_peer',
         '_pending',
         '_reader',
+        '_sending',
         '_task',
-        '_tasks',
     )
 
     def __init__(
@@ -79,7 +79,7 @@
         self._connection = connection
         self._peer = peer
         self._pending = PendingTable(peer.clock_ms, self._give_up_silent)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._sending: dict[bytes, asyncio.Task[None]] = {}
         self._heartbeat = Heartbeat(
             connection,
             self._pending,
@@ -124,14 +124,19 @@
         try:
             self._send_request(call, attach_only=attach_only)
             async with asyncio.timeout_at(call.deadline):
-                return await pending.head
-        except TimeoutError as error:
-            raise await self._withdraw(call.call_id, pending) from error
-        except asyncio.CancelledError:
-            self._connection.send(Cancel(call.call_id, pending.accepted))
+                answer = await pending.head
+        except BaseException as error:
+            self._stop_sending(call.call_id)
+            if isinstance(error, TimeoutError):
+                raise await self._withdraw(call.call_id, pending) from error
+            if isinstance(error, asyncio.CancelledError):
+                self._connection.send(Cancel(call.call_id, pending.accepted))
             raise
         finally:
             self._pending.drop(call.call_id)
+        if isinstance(answer.body, bytes):
+            self._stop_sending(call.call_id)
+        return answer
 
     async def cancel(self, call_id: bytes, *, accepted: bool) -> bool:
         """Cancel a call that was sent on an earlier channel.
@@ -155,6 +160,32 @@
         finally:
             self._pending.drop(call_id)
 
+    async def recall(
+        self,
+        key: bytes,
+        attempt: bytes,
+        timeout_s: float,
+    ) -> Answer:
+        """Ask for the outcome of an idempotency key.
+
+        Raises
+        ------
+        RequestError
+            What the node knows instead of an answer.
+        ChannelLostError
+            The channel was lost.
+        TimeoutError
+            No reply came in time.
+        """
+        call_id = random.randbytes(len(attempt) or len(key))
+        pending = self._pending.add(call_id)
+        try:
+            self._connection.send(Recall(call_id, key, attempt))
+            async with asyncio.timeout(timeout_s):
+                return await pending.head
+        finally:
+            self._pending.drop(call_id)
+
     async def close(self) -> None:
         """Close the channel; calls under way are lost."""
         self._connection.close()
@@ -185,11 +216,19 @@
             request(call, self._pending.clock_ms, attach_only=attach_only),
         )
         if not isinstance(call.body, bytes):
-            task = asyncio.create_task(
-                self._connection.send_body(call.call_id, call.body),
+            self._sending[call.call_id] = asyncio.create_task(
+                self._connection.send_body(
+                    call.call_id,
+                    call.body,
+                    on_demand=True,
+                ),
             )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+
+    def _stop_sending(self, call_id: bytes) -> None:
+        """Leave what is left of a request's body unread."""
+        task = self._sending.pop(call_id, None)
+        if task is not None:
+            task.cancel()
 
     async def _read(self) -> None:
         """Take the messages of the peer until the connection ends."""
@@ -247,6 +286,7 @@
 
     def _cancel_unread(self, call_id: bytes, whole: bool) -> None:
         self._heartbeat.leave()
+        self._stop_sending(call_id)
         if not whole:
             self._connection.forget(call_id)
             self._connection.send(Cancel(call_id))
@@ -260,55 +300,3 @@
         """End all calls under way; each may have run."""
         self._pending.lose(error)
         self._connection.fail_bodies(TruncatedAnswerError('channel lost'))
-
-
-async def open_channel(
-    host: str,
-    port: int,
-    hello: Hello,
-    source: str,
-) -> Channel:
-    """Open a channel to a node.
-
-    Parameters
-    ----------
-    host, port
-        Address of the node's inner protocol.
-    hello : Hello
-        Who this node is.
-    source : str
-        IP number of this node from which the connection is made.
-
-    Raises
-    ------
-    ChannelConnectError
-        The node can't be reached within `CONNECT_TIMEOUT_S`.
-    """
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(
-                host,
-                port,
-                local_addr=(source, 0),
-            )
-            return await _greet(reader, writer, hello)
-    except (OSError, EOFError, ProtocolError) as error:
-        raise ChannelConnectError(f'{host}:{port}') from error
-
-
-async def _greet(
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-    hello: Hello,
-) -> Channel:
-    """Exchange the first messages."""
-    connection = FrameConnection(writer)
-    try:
-        connection.send(hello)
-        peer = await read_frame(reader)
-        if not isinstance(peer, Hello):
-            raise ProtocolError('no Hello')
-    except BaseException:
-        connection.abort()
-        raise
-    return Channel(reader, connection, peer)
