Tests: older terms aren't committed by count; the API's coded problems

Cause: with the check of the own term at commit switched off all tests passed. Change: a leader with followers that hold only the older entry. Shown failing: with the check switched off the test printed 'assert 2 == 1'.

--- a/lycheespar/tests/commands/operators_tests.py
+++ b/lycheespar/tests/commands/operators_tests.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+import aiohttp
 import pytest
 import zmq.asyncio
 from click.testing import CliRunner, Result
@@ -124,6 +125,32 @@
     ]
 
 
+async def test_the_api_answers_refusals_as_coded_problems(api):
+    body = {
+        'change_id': 'x',
+        'base_revision': 0,
+        'operator': 'ann',
+        'change': {'type': 'remove_team', 'name': 'none'},
+    }
+    url = f'http://{api.address}/v1'
+    async with aiohttp.ClientSession() as session:
+        async with session.post(f'{url}/changes', json=body) as response:
+            assert response.status == 422
+            assert response.content_type == 'application/problem+json'
+            assert await response.json() == {
+                'type': 'urn:lycheespar:change_invalid',
+                'status': 422,
+                'code': 'change_invalid',
+                'detail': "name: there is no team 'none'",
+                'problems': ["name: there is no team 'none'"],
+            }
+        async with session.get(f'{url}/status?revision=x') as response:
+            assert response.status == 400
+            assert (await response.json())['code'] == 'request_invalid'
+        async with session.post(f'{url}/changes', data=b'{') as response:
+            assert response.status == 422
+
+
 async def test_a_change_id_takes_effect_once(api):
     first = await api.json('take-out', 'target', 'one', '--change-id', 'x')
     await api.json('take-out', 'target', 'two')
--- /dev/null
+++ b/lycheespar/tests/control/leadership_tests.py
@@ -0,0 +1,56 @@
+"""What a leader may commit."""
+
+from __future__ import annotations
+
+import asyncio
+
+from lycheespar.control.entries import FormGroup, LogEntry, Proposal
+from lycheespar.control.leadership import Leadership
+from lycheespar.control.peer_messages import Append, AppendReply
+from lycheespar.control.replica import Replica, Role
+from lycheespar.control.storage import Storage
+from lycheespar.tests.control.groups import TIMING, command, until
+
+
+class _Followers:
+    """Followers that have synced the log up to an index."""
+
+    def __init__(self, index: int) -> None:
+        self.index = index
+        self.asked = 0
+
+    async def ask(self, host: str, request: Append, _: float) -> AppendReply:
+        """Acknowledge up to the index."""
+        self.asked += 1
+        await asyncio.sleep(0)
+        return AppendReply(request.term, True, self.index, f'disk-{host}')
+
+
+async def test_an_entry_of_an_older_term_is_not_committed_by_count(tmp_path):
+    storage = Storage(tmp_path)
+    voters = {
+        'control-0': storage.identity.disk,
+        'control-1': 'disk-control-1',
+        'control-2': 'disk-control-2',
+    }
+    storage.vote(4, 'control-0')
+    storage.append(
+        [
+            LogEntry(1, 1, FormGroup('group', voters)),
+            LogEntry(2, 2, Proposal(command('old', 0))),
+        ],
+    )
+    replica = Replica('control-0', storage, 1000)
+    replica.commit(1)
+    replica.role = Role.leader
+    followers = _Followers(2)
+    leadership = Leadership(
+        replica, followers, ('control-1', 'control-2'), TIMING
+    )
+    leading = asyncio.create_task(leadership.run())
+    await until(lambda: followers.asked > 8)
+    assert replica.state.index == 1
+    followers.index = 3
+    await until(lambda: replica.state.index == 3)
+    leading.cancel()
+    storage.close()
