Changes through a follower outlive a leader that goes silent

Cause: a follower waited the whole time of the operation for the answer of one leader, so that a frozen leader made a change fail though another led. Change: the leader has twice the election timeout to answer; then whoever leads is asked, with the same change id. Shown failing: before the change the new test ended in no_quorum after 10 s.

--- a/lycheespar/control/group.py
+++ b/lycheespar/control/group.py
@@ -281,7 +281,7 @@
         reply = await self._peers.ask(
             self.leader,
             request,
-            OPERATION_TIMEOUT_S,
+            2 * self._timing.election_timeout_s,
         )
         match reply:
             case Failure(code, detail):
--- a/lycheespar/tests/control/group_tests.py
+++ b/lycheespar/tests/control/group_tests.py
@@ -175,6 +175,15 @@
     await until(lambda: old.group.state.revision == 1)
 
 
+async def test_a_change_sent_to_a_silent_leader_reaches_the_next(hosts):
+    await hosts.whole()
+    silent = hosts.leader
+    follower = next(host for host in hosts.all if host is not silent)
+    hosts.network.isolate(silent.name, silent.others)
+    assert follower.group.leader == silent.name
+    assert await follower.group.submit(command('new', 0)) == 1
+
+
 async def test_a_cut_off_leader_does_not_answer_reads(hosts):
     await hosts.whole()
     old = hosts.leader
