--- a/lycheespar/tests/admission/executor_tests.py
+++ b/lycheespar/tests/admission/executor_tests.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
 
 import pytest
 
 from lycheespar.call import Answer
+from lycheespar.configuration.stamp import Stamp
 from lycheespar.errors import (
     DeadlineExceededError,
     DrainingError,
     OutOfServiceError,
     OverloadedError,
+    StaleConfigurationError,
     TargetGoneError,
     TargetShedError,
 )
@@ -153,6 +156,37 @@
     assert pair.target.executions.total() == 1
 
 
+async def test_a_waiting_call_does_not_run_once_the_configuration_is_stale():
+    pair = Beside(slots=1, service_ms=500)
+    pair.executor._stale_after_s = 0.2
+    pair.view.confirm(Stamp(1, 0, 1))
+    await pair.start(queue_ms=5000)
+    tasks = [asyncio.create_task(pair.run(make_call())) for _ in range(2)]
+    ends = await asyncio.gather(*tasks)
+    assert ends[0].status == 200
+    assert isinstance(ends[1], StaleConfigurationError)
+    assert pair.target.executions.total() == 1
+    await pair.stop()
+
+
+async def _upload() -> AsyncIterator[bytes]:
+    yield b'x' * 1000
+
+
+async def test_a_call_that_cannot_be_sent_again_is_taken_as_a_drain_begins(
+    beside,
+):
+    pair = beside()
+    await pair.start()
+    pair.announce(phase='draining')
+    assert isinstance(await pair.run(make_call()), DrainingError)
+    call = make_call(method='POST', body=_upload())
+    assert (await pair.run(call)).status == 200
+    pair.executor._drained_at -= 2
+    call = make_call(method='POST', body=_upload())
+    assert isinstance(await pair.run(call), DrainingError)
+
+
 async def test_a_changed_queue_limit_is_in_force_at_once(beside):
     pair = beside(slots=1, service_ms=200)
     await pair.start(queue_ms=5000)
