Listener filter takes whole packets; rolling restart logs in detail

Cause: the socket filter, which accepted connections inherit, returned 65,535 as the length to keep; larger packets would lose their end.

Ruled out as the cause of a cut answer in a rolling restart: a test with a request of 20 MB passes with both lengths on loopback.

--- a/lycheespar/ingress/listener.py
+++ b/lycheespar/ingress/listener.py
@@ -19,7 +19,7 @@
     (84, 0, 0, 18),  # keep SYN and ACK
     (21, 0, 1, 2),  # only SYN?
     (6, 0, 0, 0),  # drop
-    (6, 0, 0, 65535),  # take
+    (6, 0, 0, 4294967295),  # take
 )
 
 
--- a/lycheespar/tests/ingress/listener_tests.py
+++ b/lycheespar/tests/ingress/listener_tests.py
@@ -61,3 +61,26 @@
         await asyncio.gather(*callers)
     assert ends['refused'] == 3 * CALLERS
     assert ends['cut'] == 0
+
+
+async def test_a_connection_accepted_at_the_end_carries_large_requests():
+    size = 20_000_000
+    received = asyncio.get_running_loop().create_future()
+
+    async def count(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        received.set_result(len(await reader.read(-1)))
+        writer.close()
+
+    listener = open_listener('127.0.0.1', 0)
+    port = listener.getsockname()[1]
+    _, writer = await asyncio.open_connection('127.0.0.1', port)
+    await refuse_new(listener)
+    server = await asyncio.start_server(count, sock=listener)
+    writer.write(b'x' * size)
+    writer.write_eof()
+    assert await received == size
+    writer.close()
+    server.close()
--- a/lycheespar/tests/whole/drain_tests.py
+++ b/lycheespar/tests/whole/drain_tests.py
@@ -80,7 +80,7 @@
     """Run three nodes, each with its target."""
     planned = Cluster(tmp_path)
     for index in range(3):
-        node = planned.add_node(f'node-{index}', 'ijmuiden')
+        node = planned.add_node(f'node-{index}', 'ijmuiden', log_level='DEBUG')
         planned.add_target(
             node,
             team='vlotwacht',
