--- a/lycheespar/tests/whole/faults.py
+++ b/lycheespar/tests/whole/faults.py
@@ -236,7 +236,9 @@
                 await asyncio.sleep(PAUSE_S)
                 self.cluster.start_node(node)
             case 'kill_target':
-                plan = self._schedule.choice(list(self.cluster.targets.values()))
+                plan = self._schedule.choice(
+                    list(self.cluster.targets.values())
+                )
                 self.cluster.processes[plan.name].kill()
                 await asyncio.sleep(PAUSE_S)
                 self.cluster.start_target(plan)
