Requests that crash their targets: suspects run alone, convicted ones are refused

Cause: a request that crashes its target was sent again by its caller and crashed one target after the other. Change: each crash (connection lost, then refused, a new start or a lapsed lease) is told to all nodes with what ran; suspects run at one node, alone; what alone was in two crashes is refused for 60 s, then gets one trial alone; a whole answer clears. Ruled out: counting crashes only (innocents that run often would be refused); asking the control hosts (a round trip on each request).

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -12,10 +12,12 @@
 from loguru import logger
 from msgspec.structs import replace
 
+from lycheespar.admission.crash_guard import CrashGuard
 from lycheespar.admission.duplicates import DuplicateCheck
 from lycheespar.admission.executor import Executor
 from lycheespar.admission.key_records import KeyRecords
 from lycheespar.admission.recorded import RecordedExecution
+from lycheespar.admission.suspects import SuspectTable
 from lycheespar.config.settings import ControlSettings, NodeSettings
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.view import ConfigurationView
@@ -37,6 +39,7 @@
 from lycheespar.routing.picker import Picker
 from lycheespar.routing.recall import Recall
 from lycheespar.routing.router import Router
+from lycheespar.routing.suspects import Designation, SuspectDispatch
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.api import AnnouncementApi
 from lycheespar.telemetry.gauges import node_gauges
@@ -97,8 +100,19 @@
         )
         self._links: list[ControlLink[ControlRequest, ControlReply]] = []
         records = KeyRecords()
+        suspects = SuspectTable(self._broadcasts)
+        designation = Designation(
+            settings.name,
+            self._members,
+            self._configuration,
+        )
         execution = RecordedExecution(
-            self._telemetry.around_execution(self._executor),
+            CrashGuard(
+                self._telemetry.around_execution(self._executor),
+                self._target,
+                suspects,
+                designation.is_own,
+            ),
             records,
             self._configuration.key_retention_s,
         )
@@ -115,7 +129,13 @@
             self._configuration,
         )
         self._keyed = KeyedDispatch(
-            self._router,
+            SuspectDispatch(
+                self._router,
+                suspects,
+                designation,
+                self._pool,
+                execution,
+            ),
             ClaimQuorum(lambda: self._links),
             records,
             Recall(
--- /dev/null
+++ b/lycheespar/tests/admission/crash_guard_tests.py
@@ -0,0 +1,168 @@
+"""Crashes of the local target are found, and suspects run alone."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lycheespar.admission.crash_guard import CrashGuard
+from lycheespar.admission.suspects import SuspectTable, Verdict
+from lycheespar.call import Answer, Call, Load
+from lycheespar.errors import (
+    CrashSuspectError,
+    OverloadedError,
+    TargetLostError,
+)
+from lycheespar.membership.broadcast import BroadcastTable
+from lycheespar.targets.announcement import Announcement, LocalTarget
+from lycheespar.tests.protocol.nodes import new_call
+
+
+class _Target:
+    """Runs calls until they are let go; dies with all of them."""
+
+    def __init__(self) -> None:
+        self.running: dict[str, asyncio.Future] = {}
+        self.peak = 0
+
+    async def execute(self, call: Call) -> Answer:
+        call.started = True
+        ended = asyncio.get_running_loop().create_future()
+        self.running[call.path] = ended
+        self.peak = max(self.peak, len(self.running))
+        try:
+            await ended
+        finally:
+            self.running.pop(call.path)
+        return Answer(200, (), b'', Load())
+
+    def end(self, path: str) -> None:
+        self.running[path].set_result(None)
+
+    def crash(self) -> None:
+        for ended in self.running.values():
+            ended.set_exception(TargetLostError())
+
+
+class _Site:
+    def __init__(self) -> None:
+        self.target = _Target()
+        self.local = LocalTarget()
+        self.suspects = SuspectTable(BroadcastTable())
+        self.own = True
+        self.guard = CrashGuard(
+            self.target,
+            self.local,
+            self.suspects,
+            lambda service, fingerprint: self.own,
+        )
+
+    async def start(self, *paths: str) -> list[asyncio.Task]:
+        """Begin calls; the path is the fingerprint."""
+        tasks = []
+        for path in paths:
+            call = new_call(path)
+            call.fingerprint = path.encode().ljust(16)
+            tasks.append(asyncio.create_task(self.guard.execute(call)))
+        await asyncio.sleep(0.01)
+        return tasks
+
+    def verdict(self, path: str) -> Verdict:
+        return self.suspects.verdict(path.encode().ljust(16))
+
+    async def crash(self, *paths: str) -> None:
+        """Run calls and crash the target under them."""
+        tasks = await self.start(*paths)
+        self.target.crash()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        while self.guard._tasks:
+            await asyncio.sleep(0)
+
+
+@pytest.fixture
+async def site():
+    found = _Site()
+    found.local.announce(
+        Announcement('t', 'a', 'b', '127.0.0.1:1', incarnation='1', lease_s=60),
+    )
+    return found
+
+
+async def test_a_refused_connection_confirms_a_crash(site):
+    await site.crash('/a', '/b')
+    assert site.verdict('/a') is site.verdict('/b') is Verdict.suspect
+
+
+async def test_a_target_that_still_listens_has_not_crashed(site):
+    server = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    site.local.announce(
+        Announcement('t', 'a', 'b', f'127.0.0.1:{port}', incarnation='1'),
+    )
+    await site.crash('/a')
+    assert site.verdict('/a') is Verdict.clear
+    site.local.announce(
+        Announcement('t', 'a', 'b', f'127.0.0.1:{port}', incarnation='2'),
+    )
+    assert site.verdict('/a') is Verdict.suspect
+    server.close()
+
+
+async def test_a_suspect_runs_alone_and_is_cleared(site):
+    await site.crash('/a', '/b')
+    beside = await site.start('/c')
+    suspect = await site.start('/a')
+    after = await site.start('/d')
+    assert set(site.target.running) == {'/c'}
+    site.target.end('/c')
+    await asyncio.sleep(0.01)
+    assert set(site.target.running) == {'/a'}
+    site.target.end('/a')
+    await asyncio.sleep(0.01)
+    assert set(site.target.running) == {'/d'}
+    site.target.end('/d')
+    await asyncio.gather(*beside, *suspect, *after)
+    assert site.verdict('/a') is Verdict.clear
+    assert site.verdict('/b') is Verdict.suspect
+
+
+async def test_two_suspects_run_one_after_the_other(site):
+    await site.crash('/a', '/b')
+    site.target.peak = 0
+    tasks = await site.start('/a', '/b')
+    for _ in range(2):
+        (path,) = site.target.running
+        site.target.end(path)
+        await asyncio.sleep(0.01)
+    await asyncio.gather(*tasks)
+    assert site.target.peak == 1
+
+
+async def test_others_are_refused_soon_while_a_suspect_runs(site):
+    await site.crash('/a')
+    suspect = await site.start('/a')
+    (other,) = await site.start('/c')
+    with pytest.raises(OverloadedError):
+        await other
+    site.target.end('/a')
+    await asyncio.gather(*suspect)
+
+
+async def test_a_suspect_is_refused_at_another_node_than_its_own(site):
+    await site.crash('/a')
+    site.own = False
+    (refused,) = await site.start('/a')
+    with pytest.raises(CrashSuspectError):
+        await refused
+
+
+async def test_a_request_that_crashed_two_targets_is_refused(site):
+    await site.crash('/a', '/b')
+    await site.crash('/a')
+    (refused,) = await site.start('/a')
+    with pytest.raises(CrashSuspectError):
+        await refused
+    (innocent,) = await site.start('/b')
+    site.target.end('/b')
+    await innocent
--- a/standins/target.py
+++ b/standins/target.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import sys
 import uuid
@@ -15,6 +16,7 @@
 
 EXECUTION_HEADER: Final = 'X-Execution-Id'
 MS_PER_S: Final = 1000
+CRASH_EXIT_CODE: Final = 70
 CHUNK: Final = b'x' * 16384
 
 
@@ -228,7 +230,8 @@
     async def _work(self, request: web.BaseRequest) -> web.StreamResponse:
         execution = request.headers.get(EXECUTION_HEADER, '')
         self.executions[execution] += 1
-        if request.path in self.crash_paths and self.on_crash is not None:
+        crashes = request.path in self.crash_paths or 'crash' in request.query
+        if crashes and self.on_crash is not None:
             await self.on_crash()
         bears = self.plan.cold_slots if self.cold else self.plan.slots
         self.running += 1
@@ -296,8 +299,14 @@
         return response
 
 
+async def _crash() -> None:
+    """End the process at once."""
+    os._exit(CRASH_EXIT_CODE)
+
+
 async def _serve_forever(plan: TargetPlan) -> None:
     target = StandInTarget(plan)
+    target.on_crash = _crash
     await target.start()
     await asyncio.Event().wait()
 
