--- a/lycheespar/ingress/classify.py
+++ b/lycheespar/ingress/classify.py
@@ -12,7 +12,11 @@
 from lycheespar.call import Body, Call
 from lycheespar.configuration.model import DEFAULT_CLASS, Route, Service
 from lycheespar.configuration.view import ConfigurationView
-from lycheespar.errors import BadRequestError, UnknownServiceError
+from lycheespar.errors import (
+    BadRequestError,
+    StaleConfigurationError,
+    UnknownServiceError,
+)
 from lycheespar.ingress.body import read_body
 from lycheespar.ingress.headers import REQUEST_CLASS, call_depth, forwarded
 from lycheespar.targets.headers import DEADLINE
@@ -69,6 +73,8 @@
     ------
     UnknownServiceError
         There is no such service.
+    StaleConfigurationError
+        There may be such a service by now.
     BadRequestError
         A header can't be understood.
     BodyTooLargeError
@@ -79,6 +85,9 @@
     headers = request.headers
     name = service_name(headers.get(hdrs.HOST, ''))
     service = configuration.services.get(name)
+    current = configuration.is_current
+    if service is None and not current:
+        raise StaleConfigurationError(f"'{name}' may be new")
     if service is None:
         raise UnknownServiceError(name)
     route = find_route(service, request.method, request.raw_path)
@@ -96,7 +105,8 @@
         body=body,
         request_class=request_class,
         weight=service.weight(request_class),
-        idempotent=route.idempotent,
+        # The route may have changed since the configuration was current.
+        idempotent=route.idempotent and current,
         deadline=deadline,
         idempotency_key=headers.get(IDEMPOTENCY_KEY, ''),
         fingerprint=_fingerprint(request, name, body),
--- a/lycheespar/tests/membership/gossip_tests.py
+++ b/lycheespar/tests/membership/gossip_tests.py
@@ -180,6 +180,30 @@
     run_virtual(scenario, seed)
 
 
+def test_a_node_that_was_frozen_brings_back_no_removed_node():
+    async def scenario(loop: VirtualLoop) -> None:
+        members = await start(NODES, filled=True)
+        ended, frozen = members.pop(), members[0]
+        await asyncio.sleep(2)
+        frozen.freeze()
+        ended.crash()
+        await asyncio.sleep(200)
+        revived: list[str] = []
+        for member in members[1:]:
+            member.view.changes.subscribe(
+                lambda record: (
+                    record.liveness is Liveness.alive
+                    and revived.append(record.node)
+                ),
+            )
+        assert ended.name in frozen.alive()
+        frozen.thaw()
+        await until(lambda: _all_know(members, _names(members)), 60)
+        assert ended.name not in revived
+
+    run_virtual(scenario)
+
+
 def test_a_fact_reaches_all_and_is_then_sent_no_more():
     async def scenario(loop: VirtualLoop) -> None:
         loop.network.loss = 0.05
@@ -217,6 +241,25 @@
     run_virtual(scenario)
 
 
+def test_bytes_stay_within_the_budget_while_all_records_are_new():
+    async def scenario(loop: VirtualLoop) -> None:
+        members = await start(20, filled=True)
+        tracker = members[0].gossip._tracker
+        own = members[0].gossip.own
+        for index in range(3000):
+            host = f'127.2.{index // 250}.{index % 250}'
+            fields = _fields(own, node=f'other-{index}', host=host)
+            tracker.take(type(own)(*fields))
+        await asyncio.sleep(20)
+        loop.network.sent_bytes.clear()
+        await asyncio.sleep(60)
+        for member in members:
+            sent = loop.network.sent_bytes[member.host, 7000]
+            assert sent / 60 < BUDGET_BYTES_PER_S / 2
+
+    run_virtual(scenario)
+
+
 @settings(max_examples=300, deadline=None)
 @given(some.binary(max_size=200))
 def test_any_bytes_are_decoded_or_dropped(payload):
