--- a/lycheespar/tests/control/groups.py
+++ b/lycheespar/tests/control/groups.py
@@ -239,3 +239,11 @@
     """Return a command that takes a data centre out."""
     change = TakeOutDataCentre(name or f'dc-{change_id}')
     return Command(change_id, base, 'operator', change)
+
+
+async def accept(hosts: Hosts, change_id: str) -> int:
+    """Have one change accepted and return its revision."""
+    leader = await hosts.ready()
+    assert leader.group is not None
+    base = (await leader.group.read()).revision
+    return await leader.group.submit(command(change_id, base))
