--- a/lycheespar/tests/protocol/server_tests.py
+++ b/lycheespar/tests/protocol/server_tests.py
@@ -16,8 +16,8 @@
     Refused,
     ResponseHead,
 )
+from lycheespar.protocol.peer import MAX_AGE_MS
 from lycheespar.protocol.pending import request
-from lycheespar.protocol.server import MAX_AGE_MS
 from lycheespar.tests.protocol.nodes import Node, new_call, running_node
 
 
