--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -14,12 +14,15 @@
 
 from lycheespar.admission.duplicates import DuplicateCheck
 from lycheespar.admission.executor import Executor
+from lycheespar.admission.key_records import KeyRecords
+from lycheespar.admission.recorded import RecordedExecution
 from lycheespar.config.settings import ControlSettings, NodeSettings
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.view import ConfigurationView
+from lycheespar.control.claims_quorum import ClaimQuorum
 from lycheespar.control.follower import ConfigurationFollower
 from lycheespar.control.link import ControlLink
-from lycheespar.control.messages import ControlReply
+from lycheespar.control.messages import ControlReply, ControlRequest
 from lycheespar.control.saved import SavedConfiguration
 from lycheespar.drain import GracefulStop, wait_until_current
 from lycheespar.ingress.server import IngressServer
@@ -30,7 +33,9 @@
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
 from lycheespar.routing.attempts import Attempts
+from lycheespar.routing.keyed import KeyedDispatch
 from lycheespar.routing.picker import Picker
+from lycheespar.routing.recall import Recall
 from lycheespar.routing.router import Router
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.api import AnnouncementApi
@@ -91,7 +96,13 @@
             float('inf') if settings.serve_stale else settings.stale_after_s,
             self._telemetry.connect,
         )
-        execution = self._telemetry.around_execution(self._executor)
+        self._links: list[ControlLink[ControlRequest, ControlReply]] = []
+        records = KeyRecords()
+        execution = RecordedExecution(
+            self._telemetry.around_execution(self._executor),
+            records,
+            self._configuration.key_retention_s,
+        )
         self._pool = self._telemetry.pool(hello, settings.inner.host)
         self._router = Router(
             Attempts(
@@ -104,15 +115,29 @@
             ),
             self._configuration,
         )
+        self._keyed = KeyedDispatch(
+            self._router,
+            ClaimQuorum(lambda: self._links),
+            records,
+            Recall(
+                settings.name,
+                incarnation,
+                self._members,
+                self._pool,
+                records,
+            ),
+            self._configuration.key_retention_s,
+        )
         self._ingress = IngressServer(
             self._configuration,
-            self._telemetry.around_dispatch(self._router),
+            self._telemetry.around_dispatch(self._keyed),
             settings.max_body_bytes,
         )
         self._channels = ChannelServer(
             DuplicateCheck(execution),
             lambda: self._executor.load,
             hello,
+            records,
         )
         self._announcements = AnnouncementApi(self._target)
         self._target.changes.subscribe(self._publish)
@@ -139,11 +164,14 @@
 
     def _follow(self, context: zmq.asyncio.Context) -> ConfigurationFollower:
         """Begin to follow the configuration."""
-        control = self._settings.control.values()
+        self._links = [
+            ControlLink(context, address, ControlReply)
+            for address in self._settings.control.values()
+        ]
         follower = ConfigurationFollower(
             self._settings.name,
             self._configuration,
-            [ControlLink(context, host, ControlReply) for host in control],
+            self._links,
             self._saved,
         )
         follower.start()
--- a/lycheespar/routing/pool.py
+++ b/lycheespar/routing/pool.py
@@ -29,6 +29,10 @@
 
     async def get(self, record: MemberRecord) -> Execution:
         """Return the execution at a node; it opens its channel when used."""
+        return self.remote(record)
+
+    def remote(self, record: MemberRecord) -> RemoteNode:
+        """Return a node, with one channel for all that use it."""
         incarnation, remote = self._nodes.get(record.node, (None, None))
         if remote is not None and incarnation == record.incarnation:
             return remote
@@ -43,6 +47,6 @@
 
     async def close(self) -> None:
         """Close all channels."""
-        for _, remote in self._nodes.values():
+        for _, remote in tuple(self._nodes.values()):
             await remote.close()
         self._nodes.clear()
