--- a/bench/gossip_slopes.py
+++ b/bench/gossip_slopes.py
@@ -14,11 +14,12 @@
 
 from lycheespar.membership.records import Liveness
 from lycheespar.tests.membership.members import PORT, Issuer, Member, start
-from lycheespar.tests.virtual import VirtualLoop, run_virtual
+from lycheespar.tests.virtual import VirtualLoop, run_virtual, until
 
 LOSS = 0.01
 DELAY_S = (0.0005, 0.005)
 WARM_UP_S = 2
+LIMIT_S = 60
 REST_S = 5
 STORM_S = 20
 RESTARTED = 42
@@ -137,6 +138,38 @@
     )
 
 
+def measure_detection(count: int) -> str:
+    """Measure the times until all know of an end, a start and a leave."""
+
+    async def scenario(loop: VirtualLoop) -> list[float]:
+        members = await _prepare(loop, count)
+        await asyncio.sleep(WARM_UP_S)
+        members[5].crash()
+        name = members.pop(5).name
+        ended_s = await until(
+            lambda: not any(name in each.alive() for each in members),
+            LIMIT_S,
+        )
+        started = Member(5, 2)
+        await started.gossip.start()
+        started_s = await until(
+            lambda: all(name in each.alive() for each in members),
+            LIMIT_S,
+        )
+        await started.gossip.stop()
+        left_s = await until(
+            lambda: not any(name in each.alive() for each in members),
+            LIMIT_S,
+        )
+        return [ended_s, started_s, left_s]
+
+    ended_s, started_s, left_s = run_virtual(scenario)
+    return (
+        f'nodes {count:5}  known to all after: an end {ended_s:.1f} s, '
+        f'a start {started_s:.1f} s, a leave {left_s:.1f} s'
+    )
+
+
 def measure_heal(count: int, cut_s: float) -> Iterator[str]:
     """Measure how two halves merge after a cut between regions."""
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -8,7 +8,13 @@
 import click
 from loguru import logger
 
-from bench.gossip_slopes import measure_gossip, measure_heal, measure_stamps
+from bench.channel_slopes import measure_channels
+from bench.gossip_slopes import (
+    measure_detection,
+    measure_gossip,
+    measure_heal,
+    measure_stamps,
+)
 from bench.process_slopes import measure_processes
 from bench.pull_slopes import measure_pulls
 from bench.state_slopes import measure_state
@@ -38,6 +44,14 @@
             click.echo(line)
 
 
+@cli.command()
+@click.option('--nodes', multiple=True, type=int, default=(10, 40, 160))
+def detection(nodes: tuple[int, ...]) -> None:
+    """Times until all know of an end, a start and a leave."""
+    for count in nodes:
+        click.echo(measure_detection(count))
+
+
 @cli.command()
 @click.option('--nodes', type=int, default=100)
 @click.option('--cut-s', type=float, default=60)
@@ -54,6 +68,13 @@
         click.echo(line)
 
 
+@cli.command()
+def channels() -> None:
+    """Memory of channels and their cost while idle, in this process."""
+    for line in measure_channels():
+        click.echo(line)
+
+
 @cli.command()
 def pulls() -> None:
     """Cost of pulls at a control host, as real processes."""
