--- a/lycheespar/tests/whole/freshness_tests.py
+++ b/lycheespar/tests/whole/freshness_tests.py
@@ -17,6 +17,7 @@
 
 STALE_AFTER_S = 4
 CALLS = 12
+STOPPED_S = 6
 
 
 def _plan(folder: Path, *, serve_stale: bool) -> Cluster:
@@ -173,3 +174,44 @@
     finally:
         cluster.stop()
         await link.stop()
+
+
+async def test_control_hosts_that_are_stopped_in_turn_cost_no_call(tmp_path):
+    """While a majority is left, with the usual bound of 5 s."""
+    cluster = Cluster(tmp_path)
+    for index, data_centre in enumerate(('ijmuiden', 'rotterdam')):
+        node = cluster.add_node(f'node-{index}', data_centre)
+        cluster.add_target(node, team='vlotwacht', service='certificates')
+    cluster.start()
+    codes: Counter[str] = Counter()
+
+    async def call_for(
+        session: aiohttp.ClientSession,
+        node: NodePlan,
+        seconds: float,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        while loop.time() < ends_at:
+            codes[await _call(session, node)] += 1
+            await asyncio.sleep(0.05)
+
+    try:
+        async with aiohttp.ClientSession() as session:
+            await configure(session, cluster.api)
+            await _serving(session, cluster)
+            for name in cluster.control_peers:
+                stopped = cluster.processes[name]
+                stopped.send(signal.SIGSTOP)
+                await asyncio.gather(
+                    *(
+                        call_for(session, node, STOPPED_S)
+                        for node in cluster.nodes.values()
+                    ),
+                )
+                stopped.send(signal.SIGCONT)
+                await asyncio.sleep(1)
+    finally:
+        cluster.stop()
+    assert not codes['stale_configuration']
+    assert codes['']
