--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -39,6 +39,7 @@
 from lycheespar.routing.router import Router
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.api import AnnouncementApi
+from lycheespar.targets.probes import Prober
 from lycheespar.telemetry.gauges import node_gauges
 from lycheespar.telemetry.parts import Telemetry
 
@@ -96,6 +97,7 @@
             float('inf') if settings.serve_stale else settings.stale_after_s,
             self._telemetry.connect,
         )
+        self._prober = Prober(self._target, self._executor)
         self._links: list[ControlLink[ControlRequest, ControlReply]] = []
         records = KeyRecords()
         execution = RecordedExecution(
@@ -184,6 +186,7 @@
         await self._gossip.start()
         await self._channels.start(settings.inner.host, settings.inner.port)
         await self._announcements.start(settings.announce)
+        self._prober.start()
         await wait_until_current(
             self._configuration,
             self._members,
@@ -200,6 +203,7 @@
             self._channels,
             self._settings.drain_s,
         ).run()
+        await self._prober.stop()
         await self._pool.close()
         await self._executor.close()
         await self._announcements.stop()
