Acknowledgements wait 50 ms for the answer

Cause: each request cost an 'Accepted' frame of its own, a write at the target's node and a read at the caller's, though most answers come sooner than a lost channel could be noticed. Change: the first request in a second and repeated ones are acknowledged at once, others after 50 ms unless the answer came; a channel counts as silent after 250 ms, as before. An acknowledgement that was left out reads as one that was lost, which the calling side copes with already.

--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -11,10 +11,10 @@
 from lycheespar.admission.duplicates import DuplicateCheck
 from lycheespar.call import Answer, Call, Load
 from lycheespar.errors import BadRequestError, ProtocolError, RequestError
+from lycheespar.protocol.acknowledgements import Acknowledgements
 from lycheespar.protocol.connection import FrameConnection
 from lycheespar.protocol.framing import read_frame
 from lycheespar.protocol.messages import (
-    Accepted,
     BodyChunk,
     BodyCredit,
     BodyEnd,
@@ -150,7 +150,14 @@
         Instant of the last message on the event loop's clock, in seconds.
     """
 
-    __slots__ = ('_connection', '_executions', '_load', '_loop', 'heard_at')
+    __slots__ = (
+        '_acknowledgements',
+        '_connection',
+        '_executions',
+        '_load',
+        '_loop',
+        'heard_at',
+    )
 
     def __init__(
         self,
@@ -160,6 +167,7 @@
     ) -> None:
         """Wrap the connection."""
         self._connection = FrameConnection(writer)
+        self._acknowledgements = Acknowledgements(self._connection)
         self._executions = executions
         self._load = load
         self._loop = asyncio.get_running_loop()
@@ -189,6 +197,7 @@
             return
         finally:
             self._connection.close()
+            self._acknowledgements.stop()
             self._connection.fail_bodies(BadRequestError('channel lost'))
             self._executions.detach(self)
 
@@ -196,6 +205,7 @@
         """Send the answer of a call."""
         body = answer.body
         whole = isinstance(body, bytes)
+        self._acknowledgements.answered(call_id)
         self._connection.send(
             ResponseHead(
                 call_id,
@@ -212,6 +222,7 @@
 
     def refuse(self, call_id: bytes, error: RequestError) -> None:
         """Send the error of a call."""
+        self._acknowledgements.answered(call_id)
         self._connection.forget(call_id)
         self._connection.send(
             Refused(
@@ -245,11 +256,14 @@
                 return
 
     def _submit(self, request: Request) -> None:
-        clock_ms = self._clock_ms()
-        self._connection.send(Accepted(request.call_id, clock_ms))
         if self._executions.attach(request.call_id, self):
+            self._acknowledgements.add(request.call_id, repeated=True)
             return
-        late = clock_ms - request.echo_ms > MAX_AGE_MS
+        self._acknowledgements.add(
+            request.call_id,
+            repeated=request.attach_only,
+        )
+        late = self._clock_ms() - request.echo_ms > MAX_AGE_MS
         self._executions.submit(
             self._call(request),
             self,
