--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -14,12 +14,15 @@
 
 from lycheespar.admission.duplicates import DuplicateCheck
 from lycheespar.admission.executor import Executor
+from lycheespar.admission.key_records import KeyRecords
+from lycheespar.admission.recorded import RecordedExecution
 from lycheespar.config.settings import ControlSettings, NodeSettings
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.view import ConfigurationView
+from lycheespar.control.claims_quorum import ClaimQuorum
 from lycheespar.control.follower import ConfigurationFollower
 from lycheespar.control.link import ControlLink
-from lycheespar.control.messages import ControlReply
+from lycheespar.control.messages import ControlReply, ControlRequest
 from lycheespar.control.saved import SavedConfiguration
 from lycheespar.drain import GracefulStop, wait_until_current
 from lycheespar.heap import settle_heap
@@ -31,10 +34,13 @@
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
 from lycheespar.routing.attempts import Attempts
+from lycheespar.routing.keyed import KeyedDispatch
 from lycheespar.routing.picker import Picker
+from lycheespar.routing.recall import Recall
 from lycheespar.routing.router import Router
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.api import AnnouncementApi
+from lycheespar.targets.probes import Prober
 from lycheespar.telemetry.gauges import node_gauges
 from lycheespar.telemetry.parts import Telemetry
 
@@ -63,6 +69,7 @@
         )
         self._configuration = ConfigurationView(
             self._saved.load() if self._saved else Configuration(),
+            float('inf') if settings.serve_stale else settings.stale_after_s,
         )
         self._members = MembershipView()
         advertised = settings.advertise_inner or settings.inner
@@ -91,7 +98,14 @@
             float('inf') if settings.serve_stale else settings.stale_after_s,
             self._telemetry.connect,
         )
-        execution = self._telemetry.around_execution(self._executor)
+        self._prober = Prober(self._target, self._executor)
+        self._links: list[ControlLink[ControlRequest, ControlReply]] = []
+        records = KeyRecords()
+        execution = RecordedExecution(
+            self._telemetry.around_execution(self._executor),
+            records,
+            self._configuration.key_retention_s,
+        )
         self._pool = self._telemetry.pool(hello, settings.inner.host)
         self._router = Router(
             Attempts(
@@ -104,15 +118,29 @@
             ),
             self._configuration,
         )
+        self._keyed = KeyedDispatch(
+            self._router,
+            ClaimQuorum(lambda: self._links),
+            records,
+            Recall(
+                settings.name,
+                incarnation,
+                self._members,
+                self._pool,
+                records,
+            ),
+            self._configuration.key_retention_s,
+        )
         self._ingress = IngressServer(
             self._configuration,
-            self._telemetry.around_dispatch(self._router),
+            self._telemetry.around_dispatch(self._keyed),
             settings.max_body_bytes,
         )
         self._channels = ChannelServer(
             DuplicateCheck(execution),
             lambda: self._executor.load,
             hello,
+            records,
         )
         self._announcements = AnnouncementApi(self._target)
         self._target.changes.subscribe(self._publish)
@@ -140,11 +168,14 @@
 
     def _follow(self, context: zmq.asyncio.Context) -> ConfigurationFollower:
         """Begin to follow the configuration."""
-        control = self._settings.control.values()
+        self._links = [
+            ControlLink(context, address, ControlReply)
+            for address in self._settings.control.values()
+        ]
         follower = ConfigurationFollower(
             self._settings.name,
             self._configuration,
-            [ControlLink(context, host, ControlReply) for host in control],
+            self._links,
             self._saved,
         )
         follower.start()
@@ -157,6 +188,7 @@
         await self._gossip.start()
         await self._channels.start(settings.inner.host, settings.inner.port)
         await self._announcements.start(settings.announce)
+        self._prober.start()
         await wait_until_current(
             self._configuration,
             self._members,
@@ -173,6 +205,7 @@
             self._channels,
             self._settings.drain_s,
         ).run()
+        await self._prober.stop()
         await self._pool.close()
         await self._executor.close()
         await self._announcements.stop()
--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -9,6 +9,7 @@
 from msgspec.structs import replace
 
 from lycheespar.admission.duplicates import DuplicateCheck
+from lycheespar.admission.key_records import KeyRecords
 from lycheespar.call import Answer, Call, Load
 from lycheespar.errors import BadRequestError, ProtocolError, RequestError
 from lycheespar.protocol.acknowledgements import Acknowledgements
@@ -24,6 +25,7 @@
     Message,
     Ping,
     Pong,
+    Recall,
     Refused,
     Request,
     ResponseHead,
@@ -51,6 +53,8 @@
         Gives the load of the local target, sent with each refusal.
     hello : Hello
         Who this node is.
+    records : KeyRecords
+        Outcomes of idempotency keys.
     """
 
     __slots__ = (
@@ -58,6 +62,7 @@
         '_hello',
         '_load',
         '_peers',
+        '_records',
         '_server',
         '_sweeper',
     )
@@ -67,8 +72,10 @@
         executions: DuplicateCheck,
         load: Callable[[], Load],
         hello: Hello,
+        records: KeyRecords,
     ) -> None:
         """Keep the parts; `start` opens the port."""
+        self._records = records
         self._executions = executions
         self._load = load
         self._hello = hello
@@ -115,7 +122,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        peer = ChannelPeer(writer, self._executions, self._load)
+        peer = ChannelPeer(
+            writer,
+            self._executions,
+            self._load,
+            self._records,
+        )
         self._peers.add(peer)
         try:
             await peer.run(reader, self._hello)
@@ -143,6 +155,8 @@
         Runs the calls.
     load : Callable[[], Load]
         Gives the load of the local target.
+    records : KeyRecords
+        Outcomes of idempotency keys.
 
     Attributes
     ----------
@@ -156,6 +170,7 @@
         '_executions',
         '_load',
         '_loop',
+        '_records',
         'heard_at',
     )
 
@@ -164,12 +179,14 @@
         writer: asyncio.StreamWriter,
         executions: DuplicateCheck,
         load: Callable[[], Load],
+        records: KeyRecords,
     ) -> None:
         """Wrap the connection."""
         self._connection = FrameConnection(writer)
         self._acknowledgements = Acknowledgements(self._connection)
         self._executions = executions
         self._load = load
+        self._records = records
         self._loop = asyncio.get_running_loop()
         self.heard_at = self._loop.time()
 
@@ -250,11 +267,30 @@
                     message,
                     BadRequestError('the body of the request was cut'),
                 )
+            case Recall():
+                self._recall(message)
             case Ping(serial):
                 self._connection.send(Pong(serial, self._clock_ms()))
             case _:
                 return
 
+    def _recall(self, recall: Recall) -> None:
+        """Send the outcome of an idempotency key."""
+        match self._records.recall(recall.key, recall.attempt):
+            case Answer(status, headers, bytes(body), load):
+                self._connection.send(
+                    ResponseHead(
+                        recall.call_id,
+                        status,
+                        headers,
+                        load,
+                        body,
+                        streamed=False,
+                    ),
+                )
+            case RequestError() as error:
+                self.refuse(recall.call_id, error)
+
     def _submit(self, request: Request) -> None:
         if self._executions.attach(request.call_id, self):
             self._acknowledgements.add(request.call_id, repeated=True)
