--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -12,10 +12,10 @@
 from lycheespar.admission.key_records import KeyRecords
 from lycheespar.call import Answer, Call, Load
 from lycheespar.errors import BadRequestError, ProtocolError, RequestError
-from lycheespar.protocol.acknowledgements import Acknowledgements
 from lycheespar.protocol.connection import FrameConnection
 from lycheespar.protocol.framing import read_frame
 from lycheespar.protocol.messages import (
+    Accepted,
     BodyChunk,
     BodyCredit,
     BodyEnd,
@@ -165,7 +165,6 @@
     """
 
     __slots__ = (
-        '_acknowledgements',
         '_connection',
         '_executions',
         '_load',
@@ -183,7 +182,6 @@
     ) -> None:
         """Wrap the connection."""
         self._connection = FrameConnection(writer)
-        self._acknowledgements = Acknowledgements(self._connection)
         self._executions = executions
         self._load = load
         self._records = records
@@ -214,7 +212,6 @@
             return
         finally:
             self._connection.close()
-            self._acknowledgements.stop()
             self._connection.fail_bodies(BadRequestError('channel lost'))
             self._executions.detach(self)
 
@@ -222,7 +219,6 @@
         """Send the answer of a call."""
         body = answer.body
         whole = isinstance(body, bytes)
-        self._acknowledgements.answered(call_id)
         self._connection.send(
             ResponseHead(
                 call_id,
@@ -239,7 +235,6 @@
 
     def refuse(self, call_id: bytes, error: RequestError) -> None:
         """Send the error of a call."""
-        self._acknowledgements.answered(call_id)
         self._connection.forget(call_id)
         self._connection.send(
             Refused(
@@ -292,14 +287,11 @@
                 self.refuse(recall.call_id, error)
 
     def _submit(self, request: Request) -> None:
+        clock_ms = self._clock_ms()
+        self._connection.send(Accepted(request.call_id, clock_ms))
         if self._executions.attach(request.call_id, self):
-            self._acknowledgements.add(request.call_id, repeated=True)
             return
-        self._acknowledgements.add(
-            request.call_id,
-            repeated=request.attach_only,
-        )
-        late = self._clock_ms() - request.echo_ms > MAX_AGE_MS
+        late = clock_ms - request.echo_ms > MAX_AGE_MS
         self._executions.submit(
             self._call(request),
             self,
