--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -18,6 +18,7 @@
 from lycheespar.admission.key_records import KeyRecords
 from lycheespar.admission.recorded import RecordedExecution
 from lycheespar.admission.suspects import SuspectTable
+from lycheespar.call import Dispatch, Execution
 from lycheespar.config.settings import ControlSettings, NodeSettings
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.view import ConfigurationView
@@ -75,20 +76,9 @@
             float('inf') if settings.serve_stale else settings.stale_after_s,
         )
         self._members = MembershipView()
-        advertised = settings.advertise_inner or settings.inner
-        own = MemberRecord(
-            settings.name,
-            incarnation,
-            0,
-            advertised.host,
-            advertised.port,
-            settings.gossip.port,
-            settings.data_centre,
-        )
-        hello = Hello(settings.name, incarnation, 0)
         self._broadcasts = BroadcastTable()
         self._gossip = Gossip(
-            own,
+            _own_record(settings, incarnation),
             settings.seeds,
             self._members,
             self._configuration,
@@ -103,64 +93,28 @@
         )
         self._prober = Prober(self._target, self._executor)
         self._links: list[ControlLink[ControlRequest, ControlReply]] = []
-        records = KeyRecords()
-        suspects = SuspectTable(self._broadcasts)
-        designation = Designation(
+        self._records = KeyRecords()
+        self._suspects = SuspectTable(self._broadcasts)
+        self._designation = Designation(
             settings.name,
             self._members,
             self._configuration,
         )
-        execution = RecordedExecution(
-            CrashGuard(
-                self._telemetry.around_execution(self._executor),
-                self._target,
-                suspects,
-                designation.is_own,
-            ),
-            records,
-            self._configuration.key_retention_s,
-        )
+        hello = Hello(settings.name, incarnation, 0)
         self._pool = self._telemetry.pool(hello, settings.inner.host)
-        self._router = Router(
-            Attempts(
-                settings.name,
-                self._members,
-                self._configuration,
-                execution,
-                self._pool,
-                Picker(settings.data_centre, random.Random()),
-            ),
-            self._configuration,
-        )
-        self._keyed = KeyedDispatch(
-            SuspectDispatch(
-                self._router,
-                suspects,
-                designation,
-                self._pool,
-                execution,
-            ),
-            ClaimQuorum(lambda: self._links),
-            records,
-            Recall(
-                settings.name,
-                incarnation,
-                self._members,
-                self._pool,
-                records,
-            ),
-            self._configuration.key_retention_s,
-        )
+        execution = self._build_execution()
         self._ingress = IngressServer(
             self._configuration,
-            self._telemetry.around_dispatch(self._keyed),
+            self._telemetry.around_dispatch(
+                self._build_dispatch(execution, incarnation),
+            ),
             settings.max_body_bytes,
         )
         self._channels = ChannelServer(
             DuplicateCheck(execution),
             lambda: self._executor.load,
             hello,
-            records,
+            self._records,
         )
         self._announcements = AnnouncementApi(self._target)
         self._target.changes.subscribe(self._publish)
@@ -168,6 +122,7 @@
             partial(
                 node_gauges,
                 self._executor,
+                self._prober,
                 self._configuration,
                 self._members,
             ),
@@ -186,6 +141,52 @@
         context.destroy(linger=0)
         log.info("Node '{}' has stopped.", self._settings.name)
 
+    def _build_execution(self) -> Execution:
+        """Build what runs calls at the own target."""
+        guard = CrashGuard(
+            self._telemetry.around_execution(self._executor),
+            self._target,
+            self._suspects,
+            self._designation.is_own,
+        )
+        return RecordedExecution(
+            guard,
+            self._records,
+            self._configuration.key_retention_s,
+        )
+
+    def _build_dispatch(
+        self,
+        execution: Execution,
+        incarnation: int,
+    ) -> Dispatch:
+        """Build what dispatches the calls of this node's callers."""
+        name = self._settings.name
+        router = Router(
+            Attempts(
+                name,
+                self._members,
+                self._configuration,
+                execution,
+                self._pool,
+                Picker(self._settings.data_centre, random.Random()),
+            ),
+            self._configuration,
+        )
+        return KeyedDispatch(
+            SuspectDispatch(
+                router,
+                self._suspects,
+                self._designation,
+                self._pool,
+                execution,
+            ),
+            ClaimQuorum(lambda: self._links),
+            self._records,
+            Recall(name, incarnation, self._members, self._pool, self._records),
+            self._configuration.key_retention_s,
+        )
+
     def _follow(self, context: zmq.asyncio.Context) -> ConfigurationFollower:
         """Begin to follow the configuration."""
         self._links = [
@@ -269,6 +270,19 @@
         context.destroy(linger=0)
 
 
+def _own_record(settings: NodeSettings, incarnation: int) -> MemberRecord:
+    advertised = settings.advertise_inner or settings.inner
+    return MemberRecord(
+        settings.name,
+        incarnation,
+        0,
+        advertised.host,
+        advertised.port,
+        settings.gossip.port,
+        settings.data_centre,
+    )
+
+
 def _with_target(
     record: MemberRecord,
     announcement: Announcement | None,
@@ -291,7 +305,6 @@
     phase: Phase,
     slots: int,
 ) -> MemberRecord:
-
     return replace(
         record,
         service=service,
--- a/lycheespar/telemetry/gauges.py
+++ b/lycheespar/telemetry/gauges.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import Final
 
 from lycheespar.admission.executor import Executor
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.membership.records import Liveness
 from lycheespar.membership.view import MembershipView
+from lycheespar.targets.probes import Prober
 
 # Age in seconds that is reported for a configuration never confirmed.
-LONGEST_AGE_S = 86_400
+LONGEST_AGE_S: Final = 86_400
 
 
 def node_gauges(
     executor: Executor,
+    prober: Prober,
     configuration: ConfigurationView,
     members: MembershipView,
 ) -> dict[str, float]:
@@ -30,6 +33,9 @@
         'target.limit': load.limit,
         'target.latency_ms': load.latency_ms,
         'target.failure_share': load.failure_share,
+        'probe.sent': prober.counts.probes,
+        'probe.failed': prober.counts.failures,
+        'probe.spent_ms': prober.counts.cost_ms,
         'configuration.revision': configuration.current.revision,
         'configuration.age_s': min(configuration.age_s, LONGEST_AGE_S),
     }
--- a/lycheespar/tests/control/disks_tests.py
+++ b/lycheespar/tests/control/disks_tests.py
@@ -18,22 +18,12 @@
 )
 from lycheespar.tests.control.groups import (
     TIMING,
-    Hosts,
     accept,
     command,
     until,
 )
 
 
-@pytest.fixture
-async def hosts(tmp_path: Path):
-    """Run three control hosts."""
-    planned = Hosts(tmp_path)
-    planned.start()
-    yield planned
-    planned.stop()
-
-
 async def test_two_empty_hosts_do_not_overrule_a_full_one(hosts):
     await hosts.whole()
     await accept(hosts, 'kept')
--- a/lycheespar/tests/control/group_tests.py
+++ b/lycheespar/tests/control/group_tests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from pathlib import Path
 
 import pytest
 
@@ -25,15 +24,6 @@
 )
 
 
-@pytest.fixture
-async def hosts(tmp_path: Path):
-    """Run three control hosts."""
-    planned = Hosts(tmp_path)
-    planned.start()
-    yield planned
-    planned.stop()
-
-
 async def test_a_change_is_accepted_through_each_host(hosts):
     await hosts.whole()
     for revision, host in enumerate(hosts.all):
--- a/lycheespar/tests/telemetry/metrics_tests.py
+++ b/lycheespar/tests/telemetry/metrics_tests.py
@@ -11,6 +11,7 @@
 from lycheespar.errors import OverloadedError
 from lycheespar.telemetry.metrics import Metrics, metric_name
 from lycheespar.telemetry.observed import ObservedDispatch
+from lycheespar.tests.telemetry.calls import new_call
 
 
 @pytest.fixture
@@ -40,21 +41,6 @@
         return Answer(200, (), b'', Load())
 
 
-def _call() -> Call:
-    return Call(
-        call_id=b'1',
-        service='team/desk',
-        method='GET',
-        path='/',
-        headers=(),
-        body=b'',
-        request_class='look-up',
-        weight=1,
-        idempotent=True,
-        deadline=0,
-    )
-
-
 def test_separators_within_a_part_are_replaced():
     assert metric_name('call', 'team/desk', 'a.b') == 'call.team_desk.a_b'
 
@@ -83,10 +69,10 @@
     server,
     metrics,
 ):
-    await ObservedDispatch(_Dispatch(), metrics).dispatch(_call())
+    await ObservedDispatch(_Dispatch(), metrics).dispatch(new_call())
     refusing = ObservedDispatch(_Dispatch(OverloadedError()), metrics)
     with pytest.raises(OverloadedError):
-        await refusing.dispatch(_call())
+        await refusing.dispatch(new_call())
     metrics.flush()
     lines = server.recv(4096).decode().splitlines()
     name = 'lycheespar.node-1.call.team_desk.look-up'
--- a/lycheespar/tests/telemetry/traces_tests.py
+++ b/lycheespar/tests/telemetry/traces_tests.py
@@ -14,27 +14,12 @@
     TracedExecution,
     Tracer,
 )
+from lycheespar.tests.telemetry.calls import new_call
 
 PARENT = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'
 UNSAMPLED = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00'
 
 
-def _call(traceparent: str = '') -> Call:
-    return Call(
-        call_id=b'1',
-        service='team/desk',
-        method='GET',
-        path='/',
-        headers=(),
-        body=b'',
-        request_class='look-up',
-        weight=1,
-        idempotent=True,
-        deadline=0,
-        traceparent=traceparent,
-    )
-
-
 class _Target:
     """Remembers the trace context of its calls."""
 
@@ -72,7 +57,7 @@
     path = tmp_path / 'spans'
     tracer = Tracer('node-1', 0, path)
     target = _Target()
-    await _path(tracer, target).dispatch(_call(PARENT))
+    await _path(tracer, target).dispatch(new_call(PARENT))
     tracer.stop()
     admission, ingress = _spans(path)
     assert ingress['parent_id'] == '0xb7ad6b7169203331'
@@ -84,7 +69,7 @@
     path = tmp_path / 'spans'
     tracer = Tracer('node-1', 1, path)
     with pytest.raises(ColdTargetError):
-        await _path(tracer, _Target(ColdTargetError())).dispatch(_call())
+        await _path(tracer, _Target(ColdTargetError())).dispatch(new_call())
     tracer.stop()
     codes = [span['attributes']['code'] for span in _spans(path)]
     assert codes == ['cold_target', 'cold_target']
@@ -94,7 +79,7 @@
     path = tmp_path / 'spans'
     tracer = Tracer('node-1', 0, path)
     target = _Target()
-    await _path(tracer, target).dispatch(_call(UNSAMPLED))
+    await _path(tracer, target).dispatch(new_call(UNSAMPLED))
     tracer.stop()
     assert not _spans(path)
     assert target.seen == [UNSAMPLED]
