--- a/bench/path.py
+++ b/bench/path.py
@@ -116,7 +116,9 @@
 
 async def configure(session: aiohttp.ClientSession, api: str) -> None:
     """Put the template and the team of the benchmark in force."""
-    await wait_until(lambda: answers(session, f'{api}/v1/status', ''))
+    await wait_until(
+        lambda: answers(session, f'{api}/v1/configuration', ''),
+    )
     template = {'name': 'delivery', 'routes': [{'idempotent': True}]}
     await change(session, api, 'put_template', template=template)
     parameters = {'cold_start_s': 0, 'cold_share': 1, 'queue_ms': 2000}
--- a/demo/run.py
+++ b/demo/run.py
@@ -134,7 +134,9 @@
     async def _configure(self, session: aiohttp.ClientSession) -> None:
         """Put the example's templates and team by the operators' commands."""
         api = self._cluster.api
-        await wait_until(lambda: answers(session, f'{api}/v1/status', ''))
+        await wait_until(
+            lambda: answers(session, f'{api}/v1/configuration', ''),
+        )
         example = EXAMPLES / self._deployment.team
         for template in sorted(example.glob('template-*.json')):
             await self._command('template', 'put', str(template))
--- a/lycheespar/tests/whole/faults.py
+++ b/lycheespar/tests/whole/faults.py
@@ -100,7 +100,9 @@
             await self._add_node(f'node-{index}', DATA_CENTRES[index % 3])
         self.cluster.start()
         api = self.cluster.api
-        await wait_until(lambda: answers(session, f'{api}/v1/status', ''))
+        await wait_until(
+            lambda: answers(session, f'{api}/v1/configuration', ''),
+        )
         routes = [
             {'method': 'GET', 'idempotent': True},
             {'idempotent': False, 'deadline_ms': 3000},
--- a/lycheespar/tests/whole/path_tests.py
+++ b/lycheespar/tests/whole/path_tests.py
@@ -8,10 +8,9 @@
 import aiohttp
 import pytest
 
+from lycheespar.tests.whole.service import HOST, configure
 from standins.cluster import Cluster, answers, change, wait_until
 
-HOST = 'certificates.vlotwacht'
-
 
 @pytest.fixture
 def cluster(tmp_path: Path):
@@ -25,23 +24,6 @@
     planned.stop()
 
 
-async def configure(session: aiohttp.ClientSession, api: str) -> None:
-    await wait_until(lambda: answers(session, f'{api}/v1/status', ''))
-    await change(
-        session,
-        api,
-        'put_template',
-        template={'name': 'delivery', 'routes': [{'idempotent': True}]},
-    )
-    services = {'certificates': {'template': 'delivery'}}
-    await change(
-        session,
-        api,
-        'put_team',
-        team={'name': 'vlotwacht', 'services': services},
-    )
-
-
 async def _served_by(session: aiohttp.ClientSession, url: str) -> str:
     headers = {'Host': HOST, 'X-Execution-Id': 'one'}
     async with session.get(f'{url}/a?size=5000', headers=headers) as response:
