--- a/lycheespar/__main__.py
+++ b/lycheespar/__main__.py
@@ -15,6 +15,7 @@
 from lycheespar.protocol.version import PROTOCOL_VERSION
 
 _SETTINGS_HELP: Final = 'SETTINGS is a file of JSON with comments.'
+_HOSTED_HELP: Final = 'The environment names the settings file.'
 
 
 _ROLE_HELP: Final = 'Command the settings are for; found by their keys.'
@@ -59,6 +60,24 @@
     serve_control(settings)
 
 
+@cli.command('hosted-node', epilog=_HOSTED_HELP)
+def hosted_node() -> None:
+    """Run the process beside a target, on the users' platform."""
+    from lycheespar.commands.hosted import serve_hosted_node  # noqa: PLC0415
+
+    serve_hosted_node()
+
+
+@cli.command('hosted-control', epilog=_HOSTED_HELP)
+def hosted_control() -> None:
+    """Run a control host, on the users' platform."""
+    from lycheespar.commands.hosted import (  # noqa: PLC0415
+        serve_hosted_control,
+    )
+
+    serve_hosted_control()
+
+
 @cli.command(epilog=_CHECK_EXIT_CODES)
 @click.argument('settings', type=click.Path(path_type=Path))
 @click.option('--role', type=click.Choice(['node', 'control']), help=_ROLE_HELP)
--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -24,9 +24,11 @@
     TruncatedAnswerError,
 )
 from lycheespar.membership.records import Phase
+from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.body import ResponseBody
 from lycheespar.targets.client import TargetClient
+from lycheespar.targets.load import LoadReport
 from lycheespar.targets.shedding import refusal_of
 
 # Time after the start of a drain in which calls are still taken whose body
@@ -35,6 +37,9 @@
 # Least time between two replacements of the connections to the target.
 RECONNECT_S: Final = 1
 FIRST_FAILURE_STATUS: Final = 500
+# Time for which a target counts as cold that may be, unless it is probed
+# before: some probes at the usual rate.
+UNSURE_S: Final = 1
 
 log = logger.bind(part='admission')
 
@@ -55,6 +60,8 @@
         infinite where stale configurations are served.
     connect : Callable[[Announcement], TargetClient]
         Prepares the connections to an announced target.
+    profile : HeaderProfile
+        Names of the headers.
     """
 
     __slots__ = (
@@ -67,11 +74,14 @@
         '_drained_at',
         '_gate',
         '_limiter',
+        '_load_path',
         '_parameters',
+        '_profile',
         '_reconnected_at',
         '_reported',
         '_stale_after_s',
         '_target',
+        '_was_out',
     )
 
     def __init__(
@@ -81,6 +91,7 @@
         data_centre: str,
         stale_after_s: float,
         connect: Callable[[Announcement], TargetClient],
+        profile: HeaderProfile = DEFAULT_PROFILE,
     ) -> None:
         """Follow the target's announcements and the configuration."""
         self._target = target
@@ -88,6 +99,9 @@
         self._data_centre = data_centre
         self._stale_after_s = stale_after_s
         self._connect = connect
+        self._profile = profile
+        self._load_path = ''
+        self._was_out = False
         self._limiter = Limiter()
         self._gate = Gate(self._limiter)
         self._client: TargetClient | None = None
@@ -120,9 +134,24 @@
         """Time that probes may cost, in milliseconds a second."""
         return self._parameters.probe_budget_ms_per_s
 
-    def report(self, running: int) -> None:
-        """Take the number of requests that the target says it runs."""
-        self._reported = ReportedLoad(running, _now())
+    @property
+    def load_path(self) -> str:
+        """Path of the load endpoint of the service's targets, or empty."""
+        return self._load_path
+
+    def report(self, report: LoadReport) -> None:
+        """Take what the target says of its load.
+
+        What another target says, at an address that was used before, is not
+        taken.
+        """
+        current = self._announced
+        if current is None or report.target not in {'', current.target}:
+            return
+        now = _now()
+        self._reported.take(report, now)
+        if report.cold_s >= 0:
+            self._gate.rate.set_cold(now + report.cold_s)
 
     async def execute(self, call: Call) -> Answer:
         """Run a call at the target.
@@ -140,12 +169,12 @@
         try:
             answer = await self._send(call)
         except BaseException:
-            self._leave(entered_at)
+            self._gate.leave(_now() - entered_at)
             raise
         if isinstance(answer.body, ResponseBody):
-            answer.body.on_end(lambda: self._leave(entered_at))
+            answer.body.on_end(lambda: self._gate.leave(_now() - entered_at))
         else:
-            self._leave(entered_at)
+            self._gate.leave(_now() - entered_at)
         return answer
 
     async def close(self) -> None:
@@ -159,6 +188,7 @@
         if not self._limiter.is_cold(now):
             log.info('The target may have restarted: cold start.')
         self._limiter.restart(now)
+        self._gate.rate.set_cold(now + UNSURE_S)
 
     def _check(self, call: Call) -> None:
         """Refuse work that this node must not take."""
@@ -216,7 +246,8 @@
 
     def _judge(self, call: Call, answer: Answer, latency_s: float) -> None:
         """Learn from an answer; turn a target's refusal into ours."""
-        refusal = refusal_of(call, answer)
+        self._reported.take_answer(answer, self._profile, _now())
+        refusal = refusal_of(call, answer, self._profile)
         if refusal is not None:
             if isinstance(answer.body, ResponseBody):
                 answer.body.close()
@@ -234,10 +265,6 @@
             )
         answer.load = self.load
 
-    def _leave(self, entered_at: float) -> None:
-        now = _now()
-        self._gate.leave(now - entered_at)
-
     def _follow(self, announcement: Announcement | None) -> None:
         known = self._announced
         self._announced = announcement
@@ -249,9 +276,12 @@
         if known is None or known.start != announcement.start:
             self._replace_client(self._connect(announcement))
             self._limiter.restart(_now())
+            self._gate.rate.set_cold(_now() + UNSURE_S)
         elif announcement.state is Phase.cold and known.state is not Phase.cold:
             self._limiter.restart(_now())
         self._limiter.hold_cold(held=announcement.state is Phase.cold)
+        if announcement.cold_s:
+            self._gate.rate.set_cold(_now() + announcement.cold_s)
         self._follow_drain(announcement)
         self._reconfigure(self._configuration.current)
 
@@ -272,9 +302,14 @@
         self._parameters = (
             Parameters() if service is None else service.parameters
         )
+        self._load_path = '' if service is None else service.load_path
         self._gate.configure(gate_limits(announced.slots, self._parameters))
-        if self._configuration.is_out(self._data_centre, announced.target):
+        out = self._configuration.is_out(self._data_centre, announced.target)
+        if out:
             self._gate.refuse_waiting(OutOfServiceError)
+        elif self._was_out:
+            self._gate.rate.set_cold(_now() + UNSURE_S)
+        self._was_out = out
 
     def _reconnect(self) -> None:
         """Open new connections; the old ones serve their calls to the end."""
--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -9,6 +9,7 @@
 from lycheespar.admission.limiter import GateLimits, Limiter
 from lycheespar.admission.mix import AdmissionMix
 from lycheespar.admission.queue import Waiting, WaitingQueue
+from lycheespar.admission.rate import ColdRate
 from lycheespar.call import Call, Load
 from lycheespar.errors import (
     ColdTargetError,
@@ -28,6 +29,11 @@
     ----------
     limiter : Limiter
         Says how many calls may run at once.
+
+    Attributes
+    ----------
+    rate : ColdRate
+        Bound on what a cold target is given.
     """
 
     __slots__ = (
@@ -38,6 +44,7 @@
         '_mix',
         '_queue',
         '_running',
+        'rate',
     )
 
     def __init__(self, limiter: Limiter) -> None:
@@ -49,6 +56,7 @@
         self._hold = LatencyEstimate()
         self._limiter = limiter
         self._limits = GateLimits()
+        self.rate = ColdRate(self._admit_waiting)
 
     @property
     def limit(self) -> int:
@@ -85,6 +93,7 @@
         """Change the bounds; calls that run or wait are not touched."""
         self._limits = limits
         self._limiter.configure(limits)
+        self.rate.configure(limits.cold_per_s)
         if self._queue:
             self._admit_waiting()
 
@@ -106,18 +115,22 @@
             The deadline can't be met.
         """
         now = _now()
-        if self._running < self.limit and not self._queue:
+        rate_wait_s = self.rate.wait_s(now)
+        if self._running < self.limit and not self._queue and not rate_wait_s:
             self._check_deadline(call, now, 0)
             self._running += 1
+            self.rate.count(now)
             return
         turns = self._queue.ahead_of(call) + 1
-        wait_s = self._expected_wait_s(turns, now)
+        wait_s = max(self._expected_wait_s(turns, now), rate_wait_s)
         wait_s *= self._mix.delay(call.weight)
         self._check_deadline(call, now, wait_s)
         if wait_s > self._limits.queue_s:
             raise self._overloaded()
         self._make_room(call)
-        await self._wait(self._queue.push(call), now)
+        waiting = self._queue.push(call)
+        self.rate.wake_after(rate_wait_s)
+        await self._wait(waiting, now)
 
     def leave(self, held_s: float) -> None:
         """Give a place back that a call held for so many seconds."""
@@ -176,20 +189,29 @@
     def _admit_waiting(self) -> None:
         now = _now()
         while self._queue and self._running < self.limit:
+            rate_wait_s = self.rate.wait_s(now)
+            if rate_wait_s:
+                self.rate.wake_after(rate_wait_s)
+                return
             waiting = self._queue.pop()
-            if waiting.turn.done():
-                continue
-            try:
-                self._check_deadline(waiting.call, now, 0)
-            except DeadlineUnreachableError as error:
-                waiting.refuse(error)
-            else:
-                self._running += 1
-                self._mix.add(waiting.call.weight)
-                waiting.admit()
+            if not waiting.turn.done():
+                self._admit(waiting, now)
+
+    def _admit(self, waiting: Waiting, now: float) -> None:
+        """Let a waiting call run, unless its deadline is too near."""
+        try:
+            self._check_deadline(waiting.call, now, 0)
+        except DeadlineUnreachableError as error:
+            waiting.refuse(error)
+            return
+        self._running += 1
+        self.rate.count(now)
+        self._mix.add(waiting.call.weight)
+        waiting.admit()
 
     def _overloaded(self) -> RefusedError:
-        cold = self._limiter.is_cold(_now())
+        now = _now()
+        cold = self._limiter.is_cold(now) or self.rate.is_cold(now)
         error_type = ColdTargetError if cold else OverloadedError
         return error_type(retry_after_s=self._retry_after_s())
 
--- a/lycheespar/admission/limiter.py
+++ b/lycheespar/admission/limiter.py
@@ -30,6 +30,8 @@
         Time from a start for which the limit does not grow, in seconds.
     cold_share : float
         Share of the slots at a start, 0 to 1.
+    cold_per_s : float
+        Calls a second that a cold target bears; 0 for any number.
     """
 
     slots: int = 1
@@ -37,6 +39,7 @@
     queue_s: float = 0.2
     cold_start_s: float = 0
     cold_share: float = 1
+    cold_per_s: float = 0
 
 
 def gate_limits(slots: int, parameters: Parameters) -> GateLimits:
@@ -47,6 +50,7 @@
         queue_s=parameters.queue_ms / MS_PER_S,
         cold_start_s=parameters.cold_start_s,
         cold_share=parameters.cold_share,
+        cold_per_s=parameters.cold_per_s,
     )
 
 
--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -5,8 +5,10 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import zmq.asyncio
 from loguru import logger
@@ -19,20 +21,23 @@
 from lycheespar.admission.recorded import RecordedExecution
 from lycheespar.admission.suspects import SuspectTable
 from lycheespar.call import Dispatch, Execution
+from lycheespar.config.options import Address
 from lycheespar.config.settings import ControlSettings, NodeSettings
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.control.claims_quorum import ClaimQuorum
+from lycheespar.control.directory import ControlDirectory, Link
 from lycheespar.control.follower import ConfigurationFollower
-from lycheespar.control.link import ControlLink
-from lycheespar.control.messages import ControlReply, ControlRequest
 from lycheespar.control.saved import SavedConfiguration
 from lycheespar.drain import GracefulStop, wait_until_current
+from lycheespar.edge import DefaultEdge, Edge, Port
 from lycheespar.heap import settle_heap
+from lycheespar.ingress.classify import Classifier
 from lycheespar.ingress.server import IngressServer
 from lycheespar.membership.broadcast import BroadcastTable
+from lycheespar.membership.endpoint import HostPort
 from lycheespar.membership.gossip import Gossip
-from lycheespar.membership.records import MemberRecord, Phase
+from lycheespar.membership.records import Liveness, MemberRecord, Phase
 from lycheespar.membership.view import MembershipView
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
@@ -43,11 +48,13 @@
 from lycheespar.routing.router import Router
 from lycheespar.routing.suspects import Designation, SuspectDispatch
 from lycheespar.targets.announcement import Announcement, LocalTarget
-from lycheespar.targets.api import AnnouncementApi
 from lycheespar.targets.probes import Prober
 from lycheespar.telemetry.gauges import node_gauges
 from lycheespar.telemetry.parts import Telemetry
 
+if TYPE_CHECKING:
+    from lycheespar.control.host import ControlHost
+
 log = logger.bind(part='app')
 
 
@@ -58,13 +65,22 @@
     ----------
     settings : NodeSettings
         Validated settings.
+    edge : Edge | None
+        Interfaces to the callers, the target and the host; the project's own
+        where none are given.
     """
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        edge: Edge | None = None,
+    ) -> None:
         """Build the parts."""
         self._settings = settings
+        self._edge = edge or DefaultEdge()
+        profile = self._edge.profile
         incarnation = time.time_ns()
-        self._telemetry = Telemetry(settings)
+        self._telemetry = Telemetry(settings, profile)
         self._target = LocalTarget()
         self._saved = (
             SavedConfiguration(Path(settings.data_folder))
@@ -79,7 +95,7 @@
         self._broadcasts = BroadcastTable()
         self._gossip = Gossip(
             _own_record(settings, incarnation),
-            settings.seeds,
+            _host_ports(settings.seeds),
             self._members,
             self._configuration,
             self._broadcasts,
@@ -90,9 +106,10 @@
             settings.data_centre,
             float('inf') if settings.serve_stale else settings.stale_after_s,
             self._telemetry.connect,
+            profile,
         )
-        self._prober = Prober(self._target, self._executor)
-        self._links: list[ControlLink[ControlRequest, ControlReply]] = []
+        self._prober = Prober(self._target, self._executor, profile)
+        self._claim_links: tuple[Link, ...] = ()
         self._records = KeyRecords()
         self._suspects = SuspectTable(self._broadcasts)
         self._designation = Designation(
@@ -104,11 +121,16 @@
         self._pool = self._telemetry.pool(hello, settings.inner.host)
         execution = self._build_execution()
         self._ingress = IngressServer(
-            self._configuration,
+            Classifier(
+                self._configuration,
+                settings.max_body_bytes,
+                profile,
+                self._edge.own_service,
+            ),
             self._telemetry.around_dispatch(
                 self._build_dispatch(execution, incarnation),
             ),
-            settings.max_body_bytes,
+            profile,
         )
         self._channels = ChannelServer(
             DuplicateCheck(execution),
@@ -116,7 +138,9 @@
             hello,
             self._records,
         )
-        self._announcements = AnnouncementApi(self._target)
+        self._announcements = self._edge.announcements(self._target)
+        self._readiness = self._edge.readiness(self._is_ready)
+        self._serving = False
         self._target.changes.subscribe(self._publish)
         self._telemetry.add_gauges(
             partial(
@@ -131,16 +155,39 @@
     async def run(self, stopped: asyncio.Event) -> None:
         """Serve until told to stop, then drain."""
         context = zmq.asyncio.Context()
-        follower = self._follow(context)
+        directory = ControlDirectory(
+            context,
+            self._settings.control.values(),
+            self._members,
+        )
+        self._claim_links = directory.configured
+        follower = ConfigurationFollower(
+            self._settings.name,
+            self._configuration,
+            lambda: directory.links,
+            self._saved,
+        )
+        follower.start()
         await self._start()
         settle_heap()
+        self._serving = True
         log.info("Node '{}' serves.", self._settings.name)
         await stopped.wait()
+        self._serving = False
         await self._stop()
         follower.stop()
+        directory.close()
         context.destroy(linger=0)
         log.info("Node '{}' has stopped.", self._settings.name)
 
+    def meet(self, seeds: tuple[Address, ...]) -> None:
+        """Take new seeds, as the settings have changed."""
+        self._gossip.seeds = _host_ports(seeds)
+
+    def _is_ready(self) -> bool:
+        """Whether callers may use this node."""
+        return self._serving and self._configuration.current.revision > 0
+
     def _build_execution(self) -> Execution:
         """Build what runs calls at the own target."""
         guard = CrashGuard(
@@ -181,27 +228,12 @@
                 self._pool,
                 execution,
             ),
-            ClaimQuorum(lambda: self._links),
+            ClaimQuorum(lambda: self._claim_links),
             self._records,
             Recall(name, incarnation, self._members, self._pool, self._records),
             self._configuration.key_retention_s,
         )
 
-    def _follow(self, context: zmq.asyncio.Context) -> ConfigurationFollower:
-        """Begin to follow the configuration."""
-        self._links = [
-            ControlLink(context, address, ControlReply)
-            for address in self._settings.control.values()
-        ]
-        follower = ConfigurationFollower(
-            self._settings.name,
-            self._configuration,
-            self._links,
-            self._saved,
-        )
-        follower.start()
-        return follower
-
     async def _start(self) -> None:
         """Join the other nodes, then open the port for callers."""
         settings = self._settings
@@ -209,6 +241,8 @@
         await self._gossip.start()
         await self._channels.start(settings.inner.host, settings.inner.port)
         await self._announcements.start(settings.announce)
+        if self._readiness is not None:
+            await self._readiness.start(settings.ready)
         self._prober.start()
         await wait_until_current(
             self._configuration,
@@ -225,11 +259,14 @@
             self._ingress,
             self._channels,
             self._settings.drain_s,
+            self._settings.drain_spread_s,
         ).run()
         await self._prober.stop()
         await self._pool.close()
         await self._executor.close()
         await self._announcements.stop()
+        if self._readiness is not None:
+            await self._readiness.stop()
         await self._gossip.stop()
         self._telemetry.stop()
 
@@ -246,11 +283,19 @@
     ----------
     settings : ControlSettings
         Validated settings.
+    api : Callable[[ControlHost], Port] | None
+        Makes the operators' interface; the project's own where it is None.
     """
 
-    def __init__(self, settings: ControlSettings) -> None:
-        """Keep the settings."""
+    def __init__(
+        self,
+        settings: ControlSettings,
+        api: Callable[[ControlHost], Port] | None = None,
+    ) -> None:
+        """Keep the parts."""
         self._settings = settings
+        self._api = api
+        self._gossip: Gossip | None = None
 
     async def run(self, stopped: asyncio.Event) -> None:
         """Serve until told to stop."""
@@ -260,15 +305,66 @@
         settings = self._settings
         context = zmq.asyncio.Context()
         host = ControlHost(settings, context)
-        api = OperatorApi(host)
+        api = (self._api or OperatorApi)(host)
+        gossip = self._join(host)
         await host.start()
+        if gossip is not None:
+            await gossip.start()
         await api.start(settings.http)
         log.info("Control host '{}' serves.", settings.name)
         await stopped.wait()
         await api.stop()
+        if gossip is not None:
+            await gossip.stop()
         host.stop()
         context.destroy(linger=0)
 
+    def meet(self, seeds: tuple[Address, ...]) -> None:
+        """Take new seeds, as the settings have changed."""
+        if self._gossip is not None:
+            self._gossip.seeds = _host_ports(seeds)
+
+    def _join(self, host: ControlHost) -> Gossip | None:
+        """Become a member among the nodes, if the settings say so.
+
+        So nodes find the control hosts, and these find each other.
+        """
+        from lycheespar.control.stamps import GroupStamps  # noqa: PLC0415
+
+        settings = self._settings
+        if settings.gossip is None:
+            return None
+        members = MembershipView()
+        members.changes.subscribe(partial(_meet_control_host, host))
+        record = MemberRecord(
+            settings.name,
+            time.time_ns(),
+            0,
+            settings.gossip.host,
+            0,
+            settings.gossip.port,
+            settings.data_centre,
+            control_port=host.address.port,
+        )
+        self._gossip = Gossip(
+            record,
+            _host_ports(settings.seeds),
+            members,
+            GroupStamps(host.group),
+            BroadcastTable(),
+        )
+        return self._gossip
+
+
+def _meet_control_host(host: ControlHost, record: MemberRecord) -> None:
+    """Tell a control host of another one that was met by gossip."""
+    if record.control_port and record.liveness is Liveness.alive:
+        host.group.roster.meet((f'{record.host}:{record.control_port}',))
+
+
+def _host_ports(seeds: tuple[Address, ...]) -> tuple[HostPort, ...]:
+    return tuple((seed.host, seed.port) for seed in seeds)
+
 
 def _own_record(settings: NodeSettings, incarnation: int) -> MemberRecord:
     advertised = settings.advertise_inner or settings.inner
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -26,6 +26,9 @@
         Smoothed latency of the target in milliseconds.
     failure_share : float
         Share of the target's last answers that were failures, 0 to 1.
+    pace : float
+        How long work takes on the target's host at this instant, as a
+        multiple of the usual; 1 where it is not told.
     """
 
     running: int = 0
@@ -33,6 +36,7 @@
     limit: int = 1
     latency_ms: float = 0
     failure_share: float = 0
+    pace: float = 1
 
 
 class Call(msgspec.Struct, gc=False):
@@ -64,6 +68,8 @@
         Digest that is equal for requests that are alike.
     traceparent : str
         W3C trace context, empty for requests that are not traced.
+    max_attempts : int
+        Targets to which the request may be sent; 0 for the usual number.
     started : bool
         Whether the request may have been sent to a target; set just before.
     """
@@ -81,6 +87,7 @@
     idempotency_key: str = ''
     fingerprint: bytes = b''
     traceparent: str = ''
+    max_attempts: int = 0
     started: bool = False
 
 
--- a/lycheespar/commands/serve.py
+++ b/lycheespar/commands/serve.py
@@ -20,8 +20,7 @@
     from lycheespar.app import NodeApp  # noqa: PLC0415
 
     settings = NodeSettings.load(path)
-    configure_logs(settings.log_level, as_json=settings.log_json)
-    uvloop.run(_until_signal(lambda stop: NodeApp(settings).run(stop)))
+    run_until_stopped(settings, lambda stop: NodeApp(settings).run(stop))
 
 
 def serve_control(path: Path) -> None:
@@ -29,8 +28,15 @@
     from lycheespar.app import ControlApp  # noqa: PLC0415
 
     settings = ControlSettings.load(path)
+    run_until_stopped(settings, lambda stop: ControlApp(settings).run(stop))
+
+
+def run_until_stopped(
+    settings: NodeSettings | ControlSettings, run: Run
+) -> None:
+    """Run a process until a signal stops it."""
     configure_logs(settings.log_level, as_json=settings.log_json)
-    uvloop.run(_until_signal(lambda stop: ControlApp(settings).run(stop)))
+    uvloop.run(_until_signal(run))
 
 
 async def _until_signal(run: Run) -> None:
--- a/lycheespar/config/settings.py
+++ b/lycheespar/config/settings.py
@@ -61,6 +61,15 @@
         None,
     )
     drain_s = Number('Longest time of a graceful stop in seconds.', 30)
+    drain_spread_s = Number(
+        'Time in seconds for which a stopping node takes new requests, until '
+        'others know of the stop.',
+        1,
+    )
+    ready: Option[Any] = IpAddress(
+        'Address at which the node says if it is ready; none without it.',
+        None,
+    )
     trace_share = Number(
         'Share of requests that are traced, 0 to 1.',
         0,
@@ -117,10 +126,38 @@
         low=0.01,
     )
     snapshot_every = Integer('Changes between two snapshots.', 1000, low=1)
+    founding = Flag(
+        'Whether this host may form a new group with those of "peers".',
+        default=True,
+    )
+    address: Option[Any] = IpAddress(
+        'Address for the other control hosts, if "peers" lacks this one.',
+        None,
+    )
+    replace_after_s = Number(
+        'Silence in seconds after which another host takes the place of a '
+        'voter; 0 for never.',
+        0,
+    )
+    least_voters = Integer(
+        'Voters below which none that is silent is removed.',
+        3,
+        low=1,
+    )
+    operation_timeout_s = Number(
+        'Longest time in seconds for a change or a read.',
+        10,
+        low=0.1,
+    )
+    gossip: Option[Any] = IpAddress(
+        'Address for gossip with the nodes, UDP; none without it.',
+        None,
+    )
+    seeds = AddressList('Gossip addresses of other hosts and nodes.', ())
 
     def contradictions(self) -> Iterator[str]:
         """Yield problems between the keys."""
-        if self.name not in self.peers:
+        if self.name not in self.peers and self.address is None:
             yield f"peers: does not name this host, '{self.name}'"
         if self.heartbeat_s * 2 > self.election_timeout_s:
             yield 'heartbeat_s: must be at most half of election_timeout_s'
@@ -129,7 +166,7 @@
         """Yield what is allowed but rarely meant."""
         if len(self.peers) % 2 == 0:
             yield 'peers: an even number bears no more losses than one less'
-        if len(self.peers) < 3:
+        if len(self.peers) < 3 and not self.replace_after_s:
             yield 'peers: fewer than 3 bear no loss of a host'
 
 
--- a/lycheespar/configuration/changes.py
+++ b/lycheespar/configuration/changes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Iterable
 from typing import Any, Final
 
@@ -16,6 +15,13 @@
     TeamService,
     Template,
 )
+from lycheespar.configuration.routes import (
+    PatchRoutePlan,
+    PlanChange,
+    PutRoutePlan,
+    changed_plan,
+    plan_problems,
+)
 from lycheespar.errors import ChangeInvalidError
 
 # Longest time in seconds for which an idempotency key may be remembered.
@@ -31,7 +37,10 @@
     'hedge_after_ms': (0, 60_000),
     'probe_budget_ms_per_s': (0, 100),
     'key_retention_s': (1, MAX_KEY_RETENTION_S),
+    'cold_per_s': (0, 1_000_000),
 }
+# Base of a change that may follow any revision.
+ANY_REVISION: Final = -1
 
 
 class PutTemplate(msgspec.Struct, frozen=True, tag='put_template'):
@@ -93,6 +102,7 @@
     | ReturnDataCentre
     | TakeOutTarget
     | ReturnTarget
+    | PlanChange
 )
 
 
@@ -104,7 +114,8 @@
     change_id : str
         Chosen by the operator's client; equal for resends of one change.
     base_revision : int
-        Revision that the operator saw.
+        Revision that the operator saw; `ANY_REVISION` where the change
+        follows whatever is in force.
     operator : str
         Name of the operator, for the history.
     change : Change
@@ -121,24 +132,28 @@
     configuration: Configuration, change: Change
 ) -> tuple[str, ...]:
     """List what is wrong with a change, one line for each key."""
-    match change:
-        case PutTemplate(template):
-            return tuple(_template_problems(configuration, template))
-        case PutTeam(team):
-            return tuple(
-                itertools.chain(
-                    _name_problems('name', team.name),
-                    _team_problems(configuration, team),
-                ),
-            )
-        case RemoveTemplate(name):
-            return tuple(_removal_problems(configuration, name))
-        case RemoveTeam(name) if name not in configuration.teams:
-            return (f"name: there is no team '{name}'",)
-        case TakeOutDataCentre(name) | TakeOutTarget(name):
-            return tuple(_name_problems('name', name))
-        case _:
-            return ()
+    return tuple(_problems(configuration, change))
+
+
+def follows(configuration: Configuration, command: Command) -> bool:
+    """Whether a command was made against this configuration."""
+    match command.change:
+        case PutRoutePlan(_, label) | PatchRoutePlan(_, label):
+            if label != configuration.plan.label:
+                return False
+    return command.base_revision in {ANY_REVISION, configuration.revision}
+
+
+def is_late(configuration: Configuration, command: Command) -> bool:
+    """Whether a command was made against an earlier configuration.
+
+    Such a command can't be accepted later: revisions and labels only grow.
+    """
+    match command.change:
+        case PutRoutePlan(_, label) | PatchRoutePlan(_, label):
+            if label < configuration.plan.label:
+                return True
+    return ANY_REVISION < command.base_revision < configuration.revision
 
 
 def apply(configuration: Configuration, change: Change) -> Configuration:
@@ -156,11 +171,32 @@
     return replace(changed, revision=configuration.revision + 1)
 
 
+def _problems(
+    configuration: Configuration,
+    change: Change,
+) -> Iterable[str]:
+    match change:
+        case PutTemplate(template):
+            yield from _template_problems(configuration, template)
+        case PutTeam(team):
+            yield from _name_problems('name', team.name)
+            yield from _team_problems(configuration, team)
+        case RemoveTemplate(name):
+            yield from _removal_problems(configuration, name)
+        case RemoveTeam(name) if name not in configuration.teams:
+            yield f"name: there is no team '{name}'"
+        case TakeOutDataCentre(name) | TakeOutTarget(name):
+            yield from _name_problems('name', name)
+        case PutRoutePlan() | PatchRoutePlan():
+            yield from plan_problems(configuration.plan, change)
+
+
 def _changed(configuration: Configuration, change: Change) -> Configuration:
     templates = configuration.templates
     teams = configuration.teams
     centres = configuration.data_centres_out
     targets = configuration.targets_out
+    plan = configuration.plan
     match change:
         case PutTemplate(template):
             templates = templates | {template.name: template}
@@ -178,8 +214,10 @@
             targets = targets | {name}
         case ReturnTarget(name):
             targets = targets - {name}
+        case PutRoutePlan() | PatchRoutePlan():
+            plan = changed_plan(plan, change)
     return Configuration(
-        configuration.revision, templates, teams, centres, targets
+        configuration.revision, templates, teams, centres, targets, plan
     )
 
 
--- a/lycheespar/configuration/model.py
+++ b/lycheespar/configuration/model.py
@@ -6,7 +6,17 @@
 
 import msgspec
 
+from lycheespar.configuration.routes import RoutePlan, ServiceProfile
+
 DEFAULT_CLASS: Final = 'default'
+# Requests that may wait at a target of a service in the plan: two rounds of
+# the slots that such targets usually have.
+PLANNED_QUEUE_LIMIT: Final = 24
+# Longest wait there in milliseconds; routes' deadlines bound it further.
+PLANNED_QUEUE_MS: Final = 300
+# Ten probes a second of 6 ms each, so that a target that turns cold is found
+# before it has got more than it bears.
+PLANNED_PROBE_MS_PER_S: Final = 60
 
 
 class RequestClass(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -69,6 +79,8 @@
         Time that probes may cost a target, in milliseconds a second.
     key_retention_s : float
         Time for which an idempotency key is remembered, in seconds.
+    cold_per_s : float
+        Requests a second that a cold target bears; 0 for no such bound.
     """
 
     deadline_ms: int = 2000
@@ -80,6 +92,7 @@
     hedge_after_ms: int = 0
     probe_budget_ms_per_s: float = 6
     key_retention_s: float = 600
+    cold_per_s: float = 0
 
 
 class Template(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -148,6 +161,8 @@
         Data centres that are taken out.
     targets_out : frozenset[str]
         Identities of the targets that are taken out.
+    plan : RoutePlan
+        Routes by host and path.
     """
 
     revision: int = 0
@@ -155,6 +170,7 @@
     teams: dict[str, Team] = {}
     data_centres_out: frozenset[str] = frozenset()
     targets_out: frozenset[str] = frozenset()
+    plan: RoutePlan = RoutePlan()
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -163,17 +179,23 @@
     Attributes
     ----------
     name : str
-        ``team/service``.
+        ``team/service``, or the name of a service in the plan.
     classes, routes
         As in `Template`.
     parameters : Parameters
         The template's, overridden by the team's.
+    load_path : str
+        Path at which a target tells its load; empty where it announces it.
+    connections : int
+        Connections that one target bears; 0 where it announces them.
     """
 
     name: str
     classes: dict[str, RequestClass]
     routes: tuple[Route, ...]
     parameters: Parameters
+    load_path: str = ''
+    connections: int = 0
 
     def weight(self, request_class: str) -> float:
         """Return the weight of a class, 1 for unknown ones."""
@@ -182,24 +204,48 @@
 
 
 def resolve(configuration: Configuration) -> dict[str, Service]:
-    """Put templates and teams together.
+    """Put templates and teams together, and the services of the plan.
 
     Returns
     -------
     dict[str, Service]
-        Services by their ``team/service`` name.
+        Services by their ``team/service`` name, or their name in the plan.
     """
     pairs = (
         (team, name, chosen)
         for team in configuration.teams.values()
         for name, chosen in team.services.items()
     )
-    return {
+    planned = {
+        name: _planned_service(profile)
+        for name, profile in configuration.plan.services.items()
+    }
+    return planned | {
         f'{team.name}/{name}': _service(configuration, team, name, chosen)
         for team, name, chosen in pairs
     }
 
 
+def _planned_service(profile: ServiceProfile) -> Service:
+    """Return a service that the plan names; its routes are the plan's."""
+    return Service(
+        name=profile.name,
+        classes={},
+        routes=(),
+        parameters=Parameters(
+            cold_start_s=0,
+            # The rate bounds a cold target, not a share of its slots.
+            cold_share=1,
+            cold_per_s=profile.cold_per_s,
+            queue_limit=PLANNED_QUEUE_LIMIT,
+            queue_ms=PLANNED_QUEUE_MS,
+            probe_budget_ms_per_s=PLANNED_PROBE_MS_PER_S,
+        ),
+        load_path=profile.load_path,
+        connections=profile.connections,
+    )
+
+
 def _service(
     configuration: Configuration,
     team: Team,
--- a/lycheespar/configuration/stamp.py
+++ b/lycheespar/configuration/stamp.py
@@ -4,7 +4,7 @@
 
 import math
 import time
-from typing import Final
+from typing import Final, Protocol
 
 import msgspec
 
@@ -53,6 +53,20 @@
         )
 
 
+class StampTable(Protocol):
+    """Source and sink of stamps."""
+
+    @property
+    def stamp(self) -> Stamp:
+        """Newest stamp known, aged to now."""
+
+    def now(self) -> float:
+        """Return the present instant of the clock by which ages are told."""
+
+    def confirm(self, stamp: Stamp) -> bool:
+        """Take a stamp if it is newer; say whether it was."""
+
+
 def steady_time() -> float:
     """Return seconds of a clock that never goes back.
 
--- a/lycheespar/configuration/view.py
+++ b/lycheespar/configuration/view.py
@@ -15,6 +15,7 @@
     Service,
     resolve,
 )
+from lycheespar.configuration.route_table import RouteTable
 from lycheespar.configuration.stamp import MS_PER_S, Stamp, steady_time
 
 _NEVER: Final = float('-inf')
@@ -48,6 +49,7 @@
         '_known_revision',
         '_news',
         '_reported',
+        '_routes',
         '_services',
         '_stale_after_s',
         '_stamp',
@@ -66,6 +68,7 @@
         self._clock = clock
         self._configuration = configuration
         self._services = resolve(configuration)
+        self._routes = RouteTable(configuration.plan.routes.values())
         self._held_since = clock()
         self._stamp = Stamp()
         self._known_revision = configuration.revision
@@ -84,9 +87,14 @@
 
     @property
     def services(self) -> dict[str, Service]:
-        """Services by their ``team/service`` name."""
+        """Services by name."""
         return self._services
 
+    @property
+    def routes(self) -> RouteTable:
+        """Routes of the plan."""
+        return self._routes
+
     @property
     def changes(self) -> Observable[Configuration]:
         """Stream of configurations, beginning with the one in force."""
@@ -128,6 +136,8 @@
         if configuration.revision <= self._configuration.revision:
             return False
         self._services = resolve(configuration)
+        if configuration.plan is not self._configuration.plan:
+            self._routes = RouteTable(configuration.plan.routes.values())
         self._configuration = configuration
         self._held_since = self._clock()
         if configuration.revision >= self._stamp.revision:
--- a/lycheespar/control/election.py
+++ b/lycheespar/control/election.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
 
 from loguru import logger
 
@@ -12,6 +11,7 @@
 from lycheespar.control.peers import Peers, Timing, ask_all
 from lycheespar.control.quorum import has_quorum
 from lycheespar.control.replica import Replica, Role
+from lycheespar.control.roster import Roster
 from lycheespar.errors import StorageError
 
 log = logger.bind(part='control')
@@ -26,28 +26,28 @@
         The member.
     peers : Peers
         Links to the other control hosts.
-    others : Iterable[str]
-        Names of the other control hosts.
+    roster : Roster
+        The other control hosts.
     timing : Timing
         Times of the group.
     choose : random.Random
         Spreads the campaigns of several members.
     """
 
-    __slots__ = ('_choose', '_others', '_peers', '_replica', '_timing')
+    __slots__ = ('_choose', '_peers', '_replica', '_roster', '_timing')
 
     def __init__(
         self,
         replica: Replica,
         peers: Peers,
-        others: Iterable[str],
+        roster: Roster,
         timing: Timing,
         choose: random.Random,
     ) -> None:
         """Keep the parts."""
         self._replica = replica
         self._peers = peers
-        self._others = tuple(others)
+        self._roster = roster
         self._timing = timing
         self._choose = choose
 
@@ -116,7 +116,7 @@
         granted = {replica.voter}
         replies = ask_all(
             self._peers,
-            self._others,
+            self._roster.others,
             request,
             self._timing.reply_s,
         )
--- a/lycheespar/control/entries.py
+++ b/lycheespar/control/entries.py
@@ -26,7 +26,7 @@
 
 
 class ReplaceDisk(msgspec.Struct, frozen=True, tag='replace_disk'):
-    """Gives the vote of a control host to its new disk.
+    """Gives a control host's disk the vote.
 
     Attributes
     ----------
@@ -34,10 +34,26 @@
         Name of the control host.
     disk : str
         Id of the disk that votes from now on.
+    removed : str
+        Name of the host whose place it takes; empty where it takes that of
+        its own former disk, or is one more.
     """
 
     host: str
     disk: str
+    removed: str = ''
+
+
+class RemoveVoter(msgspec.Struct, frozen=True, tag='remove_voter'):
+    """Takes the vote of a control host that is gone.
+
+    Attributes
+    ----------
+    host : str
+        Name of the control host.
+    """
+
+    host: str
 
 
 class BeginTerm(msgspec.Struct, frozen=True, tag='begin_term'):
@@ -56,7 +72,22 @@
     command: Command
 
 
-Content = FormGroup | ReplaceDisk | BeginTerm | Proposal
+VoterChange = ReplaceDisk | RemoveVoter
+Content = FormGroup | VoterChange | BeginTerm | Proposal
+
+
+def changed_voters(voters: Voters, change: VoterChange) -> Voters:
+    """Return the voters after a change."""
+    match change:
+        case ReplaceDisk(host, disk, removed):
+            kept = _without(voters, removed)
+            return kept | {host: disk}
+        case RemoveVoter(host):
+            return _without(voters, host)
+
+
+def _without(voters: Voters, removed: str) -> Voters:
+    return {host: disk for host, disk in voters.items() if host != removed}
 
 
 class LogEntry(msgspec.Struct, frozen=True):
--- a/lycheespar/control/follower.py
+++ b/lycheespar/control/follower.py
@@ -4,9 +4,8 @@
 
 import asyncio
 import contextlib
-import itertools
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Sequence
 from functools import reduce
 from typing import Final, Protocol
 
@@ -71,8 +70,8 @@
         Identity of this node.
     view : ConfigurationView
         Configuration that is kept up to date.
-    links : Iterable[NodeLink]
-        Links to the control hosts.
+    links : Callable[[], Sequence[NodeLink]]
+        Gives the links to the control hosts known now.
     saved : SavedConfiguration | None
         File for the last configuration, if one is kept.
     """
@@ -93,14 +92,14 @@
         self,
         node: str,
         view: ConfigurationView,
-        links: Iterable[NodeLink],
+        links: Callable[[], Sequence[NodeLink]],
         saved: SavedConfiguration | None = None,
     ) -> None:
         """Keep the parts; `start` begins to pull."""
         self._node = node
         self._view = view
         self._random = random.Random(node)
-        self._links = _shuffled(links, self._random)
+        self._links = links
         self._saved = saved
         self._wait_s: float = MIN_WAIT_S
         self._pause_s: float = MIN_PAUSE_S
@@ -121,18 +120,28 @@
         )
 
     def stop(self) -> None:
-        """Stop to pull and close the links."""
+        """Stop to pull."""
         for task in self._tasks:
             task.cancel()
-        for link in self._links:
-            link.close()
 
     async def _run(self) -> None:
-        for link in itertools.cycle(self._links):
-            while await self._pull(link):
-                self._pause_s = MIN_PAUSE_S
-            await asyncio.sleep(self._pause_s * self._random.uniform(0.5, 1))
-            self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
+        while True:
+            for link in self._shuffled():
+                while await self._pull(link):
+                    self._pause_s = MIN_PAUSE_S
+                await self._pause()
+            if not self._links():
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait a little, longer after each pull that was of no use."""
+        await asyncio.sleep(self._pause_s * self._random.uniform(0.5, 1))
+        self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
+
+    def _shuffled(self) -> list[NodeLink]:
+        links = list(self._links())
+        self._random.shuffle(links)
+        return links
 
     async def _pull(self, link: NodeLink) -> bool:
         """Pull once; say whether the control host is of use."""
@@ -249,12 +258,3 @@
 ) -> Configuration:
     """Apply the changes that follow a base; they begin after a revision."""
     return reduce(apply, changes[base.revision - first :], base)
-
-
-def _shuffled(
-    links: Iterable[NodeLink],
-    chooser: random.Random,
-) -> tuple[NodeLink, ...]:
-    listed = list(links)
-    chooser.shuffle(listed)
-    return tuple(listed)
--- a/lycheespar/control/forming.py
+++ b/lycheespar/control/forming.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import uuid
-from collections.abc import Iterable
 
 from loguru import logger
 
 from lycheespar.control.peer_messages import Identified, Identify
 from lycheespar.control.peers import Peers, Timing, ask_all
 from lycheespar.control.replica import Replica
+from lycheespar.control.roster import Roster
 from lycheespar.errors import StorageError
 
 log = logger.bind(part='control')
@@ -30,26 +30,32 @@
         The member.
     peers : Peers
         Links to the other control hosts.
-    others : Iterable[str]
-        Names of the other control hosts.
+    roster : Roster
+        The other control hosts; those configured are the founders.
     timing : Timing
         Times of the group.
+    founding : bool
+        Whether this host may form a group; one that was replaced, or has
+        lost its disk, must not.
     """
 
-    __slots__ = ('_others', '_peers', '_replica', '_timing')
+    __slots__ = ('_founding', '_peers', '_replica', '_roster', '_timing')
 
     def __init__(
         self,
         replica: Replica,
         peers: Peers,
-        others: Iterable[str],
+        roster: Roster,
         timing: Timing,
+        *,
+        founding: bool,
     ) -> None:
         """Keep the parts."""
         self._replica = replica
         self._peers = peers
-        self._others = tuple(others)
+        self._roster = roster
         self._timing = timing
+        self._founding = founding
 
     @property
     def identity(self) -> Identified:
@@ -71,7 +77,7 @@
         replies: dict[str, Identified] = {}
         async for host, reply in ask_all(
             self._peers,
-            self._others,
+            self._roster.others,
             Identify(),
             self._timing.reply_s,
         ):
@@ -84,14 +90,20 @@
             if found.founders.get(replica.name) == replica.disk:
                 replica.form(found.group, found.founders)
                 return
-        self._form(replies)
+        if self._founding:
+            self._form(replies)
 
     def _form(self, replies: dict[str, Identified]) -> None:
         replica = self._replica
-        is_first = replica.name <= min(self._others, default=replica.name)
+        founders = self._roster.configured
+        is_first = replica.name <= min(founders, default=replica.name)
         all_empty = not any(found.group for found in replies.values())
-        if is_first and all_empty and len(replies) == len(self._others):
-            disks = {host: found.disk for host, found in replies.items()}
+        disks = {
+            host: found.disk
+            for host, found in replies.items()
+            if host in founders
+        }
+        if is_first and all_empty and len(disks) == len(founders):
             replica.form(
                 uuid.uuid4().hex,
                 disks | {replica.name: replica.disk},
--- a/lycheespar/control/group.py
+++ b/lycheespar/control/group.py
@@ -16,6 +16,7 @@
 from lycheespar.control.election import Election
 from lycheespar.control.following import Following
 from lycheespar.control.forming import Forming
+from lycheespar.control.joining import Joining
 from lycheespar.control.leadership import Leadership
 from lycheespar.control.link import LinkTimeoutError
 from lycheespar.control.messages import Failure
@@ -24,6 +25,7 @@
     AskReadIndex,
     Identify,
     Install,
+    Join,
     PeerReply,
     PeerRequest,
     Propose,
@@ -35,6 +37,7 @@
 from lycheespar.control.peers import Peers, Timing
 from lycheespar.control.relay import StampRelay
 from lycheespar.control.replica import Replica
+from lycheespar.control.roster import Roster
 from lycheespar.control.state import GroupState, revision_of
 from lycheespar.errors import (
     NoQuorumError,
@@ -67,6 +70,10 @@
         Times of the group.
     choose : random.Random
         Spreads the campaigns of several hosts.
+    operation_timeout_s : float
+        Longest time in seconds for a change or a read.
+    founding : bool
+        Whether this host may form a group with the others named.
     """
 
     __slots__ = (
@@ -74,11 +81,13 @@
         '_election',
         '_following',
         '_forming',
+        '_joining',
         '_leadership',
-        '_others',
+        '_operation_timeout_s',
         '_peers',
         '_relay',
         '_replica',
+        '_roster',
         '_tasks',
         '_timing',
     )
@@ -90,17 +99,27 @@
         others: Iterable[str],
         timing: Timing,
         choose: random.Random,
+        operation_timeout_s: float = OPERATION_TIMEOUT_S,
+        *,
+        founding: bool = True,
     ) -> None:
         """Build the parts; `start` begins to take part."""
-        names = tuple(others)
         self._replica = replica
         self._peers = peers
-        self._others = names
+        self._roster = Roster(replica, others)
         self._timing = timing
+        self._operation_timeout_s = operation_timeout_s
         self._ballots = Ballots(replica, timing)
         self._following = Following(replica)
-        self._forming = Forming(replica, peers, names, timing)
-        self._election = Election(replica, peers, names, timing, choose)
+        self._forming = Forming(
+            replica,
+            peers,
+            self._roster,
+            timing,
+            founding=founding,
+        )
+        self._election = Election(replica, peers, self._roster, timing, choose)
+        self._joining = Joining(replica, peers, self._roster, timing)
         self._leadership: Leadership | None = None
         self._relay = StampRelay(replica, peers, timing)
         self._tasks: list[asyncio.Task[None]] = []
@@ -111,9 +130,9 @@
         return self._replica.name
 
     @property
-    def others(self) -> tuple[str, ...]:
-        """Names of the other control hosts."""
-        return self._others
+    def roster(self) -> Roster:
+        """The other control hosts that are known."""
+        return self._roster
 
     @property
     def state(self) -> GroupState:
@@ -147,6 +166,7 @@
         self._tasks = [
             asyncio.create_task(self._take_part()),
             asyncio.create_task(self._relay.run()),
+            asyncio.create_task(self._joining.run()),
         ]
 
     def stop(self) -> None:
@@ -165,6 +185,8 @@
         match request:
             case Identify():
                 return self._forming.identity
+            case Join(host):
+                return self._joining.answer(host)
             case RequestVote():
                 return self._ballots.take(request)
             case Append():
@@ -225,7 +247,7 @@
             self._leadership = Leadership(
                 self._replica,
                 self._peers,
-                self._others,
+                self._roster,
                 self._timing,
             )
             try:
@@ -251,7 +273,7 @@
     async def _ask_leader(self, request: PeerRequest) -> PeerReply:
         """Ask whoever leads, until it answers."""
         try:
-            async with asyncio.timeout(OPERATION_TIMEOUT_S):
+            async with asyncio.timeout(self._operation_timeout_s):
                 return await self._ask_until_answered(request)
         except TimeoutError as error:
             raise NoQuorumError(
@@ -291,7 +313,7 @@
 
     async def _applied(self, index: int) -> None:
         try:
-            async with asyncio.timeout(OPERATION_TIMEOUT_S):
+            async with asyncio.timeout(self._operation_timeout_s):
                 await self._replica.changed.wait_for(
                     lambda: self.state.index >= index,
                 )
--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -66,8 +66,10 @@
         self._timing = Timing(
             settings.heartbeat_s,
             settings.election_timeout_s,
+            settings.replace_after_s or float('inf'),
+            settings.least_voters,
         )
-        self._address = settings.peers[settings.name]
+        self.address = settings.address or settings.peers[settings.name]
         self._storage = Storage(Path(settings.data_folder))
         others = {
             host: address
@@ -86,6 +88,8 @@
             others,
             self._timing,
             random.Random(),
+            settings.operation_timeout_s,
+            founding=settings.founding,
         )
         self._claims = ClaimHost(
             Path(settings.data_folder) / 'claims',
@@ -103,7 +107,7 @@
 
     async def start(self) -> None:
         """Open the port and take part in the group."""
-        await self._server.start(self._address)
+        await self._server.start(self.address)
         self.group.start()
 
     def stop(self) -> None:
@@ -126,7 +130,7 @@
         nodes = list(self._progress.nodes)
         async for _, reply in ask_all(
             self._links,
-            self.group.others,
+            self.group.roster.others,
             AskProgress(),
             self._timing.reply_s,
         ):
--- a/lycheespar/control/leadership.py
+++ b/lycheespar/control/leadership.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Final
 
 from loguru import logger
 
 from lycheespar.configuration.changes import Command
 from lycheespar.configuration.stamp import Stamp
+from lycheespar.control.electorate import Electorate
 from lycheespar.control.entries import (
     BeginTerm,
     Content,
     LogEntry,
     Proposal,
-    ReplaceDisk,
 )
 from lycheespar.control.link import LinkTimeoutError
 from lycheespar.control.members import Member, request_for
@@ -24,6 +24,7 @@
 from lycheespar.control.pulse import Pulse
 from lycheespar.control.quorum import NEVER, Voter, has_quorum, quorum_value
 from lycheespar.control.replica import Replica, Role
+from lycheespar.control.roster import Roster
 from lycheespar.control.state import CommandOutcome
 from lycheespar.errors import NotLeaderError, StorageFullError
 
@@ -43,21 +44,24 @@
         The member that was elected.
     peers : Peers
         Links to the other control hosts.
-    others : Iterable[str]
-        Names of the other control hosts.
+    roster : Roster
+        The other control hosts.
     timing : Timing
         Times of the group.
     """
 
     __slots__ = (
+        '_electorate',
         '_first_index',
         '_followers',
         '_nudged',
         '_peers',
         '_replica',
+        '_roster',
         '_round',
         '_stamped_at',
         '_started_at',
+        '_tasks',
         '_term',
         '_timing',
         'confirmed',
@@ -67,7 +71,7 @@
         self,
         replica: Replica,
         peers: Peers,
-        others: Iterable[str],
+        roster: Roster,
         timing: Timing,
     ) -> None:
         """Keep the parts; `run` begins the term."""
@@ -76,7 +80,15 @@
         self._timing = timing
         self._term = replica.term
         self._first_index = replica.last.index + 1
-        self._followers = [Member(host, self._first_index) for host in others]
+        self._roster = roster
+        self._followers: dict[str, Member] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._electorate = Electorate(
+            replica,
+            roster,
+            self._followers,
+            timing,
+        )
         self._nudged = Pulse()
         self._started_at = asyncio.get_running_loop().time()
         self._stamped_at = NEVER
@@ -101,7 +113,7 @@
             asyncio.get_running_loop().time(),
             {
                 member.voter: member.acknowledged_at
-                for member in self._followers
+                for member in self._followers.values()
             },
         )
 
@@ -124,17 +136,16 @@
 
     async def run(self) -> None:
         """Lead until a newer term begins or the quorum is lost."""
-        tasks = [
-            asyncio.create_task(self._replicate(member))
-            for member in self._followers
-        ]
         try:
             self._append(BeginTerm())
             while self.leading and not self._lost_quorum():
+                self._follow_roster()
+                if self.ready:
+                    self._append(self._electorate.removal())
                 await asyncio.sleep(self._timing.heartbeat_s)
             log.warning('Term {} ends at this leader.', self._term)
         finally:
-            for task in tasks:
+            for task in self._tasks.values():
                 task.cancel()
             self._resign()
 
@@ -178,6 +189,22 @@
             await self.confirmed.wait()
         return self._replica.state.index
 
+    def _follow_roster(self) -> None:
+        """Send the log to each host that is known."""
+        for host in self._roster.others:
+            if host not in self._followers:
+                member = Member(host, self._replica.last.index + 1)
+                self._followers[host] = member
+                self._tasks[host] = asyncio.create_task(self._serve(member))
+
+    async def _serve(self, member: Member) -> None:
+        """Send the log to a host until it is of no use any more."""
+        try:
+            await self._replicate(member)
+        finally:
+            self._followers.pop(member.host, None)
+            self._tasks.pop(member.host, None)
+
     def _make_way(self) -> None:
         """Resign if a quorum of the others has room for changes.
 
@@ -186,7 +213,7 @@
         """
         with_room = [
             member.voter
-            for member in self._followers
+            for member in self._followers.values()
             if member.room and member.acknowledged_at > self._started_at
         ]
         if has_quorum(self._replica.voter_sets, with_room):
@@ -198,7 +225,10 @@
                 raise NotLeaderError
             await self._replica.changed.wait()
 
-    def _append(self, content: Content) -> None:
+    def _append(self, content: Content | None) -> None:
+        """Append an entry, if there is one to append."""
+        if content is None:
+            return
         index = self._replica.last.index + 1
         self._replica.append([LogEntry(index, self._term, content)])
         self._commit()
@@ -207,7 +237,7 @@
     async def _replicate(self, member: Member) -> None:
         """Keep one other control host up to date."""
         loop = asyncio.get_running_loop()
-        while self.leading:
+        while self.leading and not self._electorate.has_left(member):
             sent_at = loop.time()
             request = request_for(member, self._replica, self._term)
             try:
@@ -240,7 +270,8 @@
                 member.next_index = index + 1
                 member.matched = index if matched else 0
                 self._commit()
-                self._admit(member)
+                if self.ready:
+                    self._append(self._electorate.admission(member))
                 self.confirmed.notify()
         return member.next_index != before
 
@@ -256,26 +287,16 @@
         replica = self._replica
         index = self._quorum_value(
             replica.last.index,
-            {member.voter: member.matched for member in self._followers},
+            {
+                member.voter: member.matched
+                for member in self._followers.values()
+            },
         )
         if index <= replica.state.index:
             return
         if replica.log.term_at(int(index)) == self._term:
             replica.commit(int(index))
 
-    def _admit(self, member: Member) -> None:
-        """Give the vote to a new disk that has caught up.
-
-        The entry needs a majority of the old voters and of the new ones.
-        """
-        sets = self._replica.voter_sets
-        admitted = sets[-1].get(member.host) == member.disk
-        caught_up = member.matched >= self._replica.state.index
-        if admitted or not caught_up or len(sets) > 1 or not self.ready:
-            return
-        log.info("The new disk of '{}' is to vote.", member.host)
-        self._append(ReplaceDisk(member.host, member.disk))
-
     def _quorum_value(
         self,
         own: float,
--- a/lycheespar/control/peer_messages.py
+++ b/lycheespar/control/peer_messages.py
@@ -50,6 +50,33 @@
     founders: Voters
 
 
+class Join(msgspec.Struct, frozen=True, tag='join'):
+    """A control host that hears no leader asks to be sent the log.
+
+    Attributes
+    ----------
+    host : str
+        Name of the control host.
+    """
+
+    host: str
+
+
+class Joined(msgspec.Struct, frozen=True, tag='joined'):
+    """Answer to `Join`.
+
+    Attributes
+    ----------
+    leader : str
+        Leader that the sender knows; empty for none.
+    hosts : tuple[str, ...]
+        Control hosts that the sender knows.
+    """
+
+    leader: str
+    hosts: tuple[str, ...]
+
+
 class RequestVote(msgspec.Struct, frozen=True, tag='request_vote'):
     """A candidate asks for a vote.
 
@@ -235,6 +262,7 @@
 
 PeerRequest = (
     Identify
+    | Join
     | RequestVote
     | Append
     | Install
@@ -245,6 +273,7 @@
 )
 PeerReply = (
     Identified
+    | Joined
     | VoteReply
     | AppendReply
     | StampReply
--- a/lycheespar/control/peers.py
+++ b/lycheespar/control/peers.py
@@ -9,7 +9,7 @@
 import msgspec
 import zmq.asyncio
 
-from lycheespar.config.options import Address
+from lycheespar.config.options import Address, parse_address
 from lycheespar.control.link import ControlLink, LinkTimeoutError
 from lycheespar.control.peer_messages import PeerReply, PeerRequest
 
@@ -24,10 +24,18 @@
     election_timeout_s : float
         Least time without a leader before an election, and the longest for
         which a leader stays one without a quorum.
+    replace_after_s : float
+        Silence after which a voter gives its place to a host that has
+        joined; infinite where the settings name all hosts.
+    least_voters : int
+        Voters below which a silent one keeps its vote until another has
+        joined.
     """
 
     heartbeat_s: float
     election_timeout_s: float
+    replace_after_s: float = float('inf')
+    least_voters: int = 3
 
     @property
     def reply_s(self) -> float:
@@ -64,7 +72,7 @@
         Addresses of the other control hosts by name.
     """
 
-    __slots__ = ('_links',)
+    __slots__ = ('_context', '_links')
 
     def __init__(
         self,
@@ -72,6 +80,7 @@
         addresses: Mapping[str, Address],
     ) -> None:
         """Connect in the background."""
+        self._context = context
         self._links: dict[str, ControlLink[PeerRequest, PeerReply]] = {
             host: ControlLink(context, address, PeerReply)
             for host, address in addresses.items()
@@ -83,8 +92,15 @@
         request: PeerRequest,
         timeout_s: float,
     ) -> PeerReply:
-        """Send a request and wait for its reply."""
-        return await self._links[host].ask(request, timeout_s)
+        """Send a request and wait for its reply.
+
+        A host that the settings do not name has its address for a name.
+        """
+        link = self._links.get(host)
+        if link is None:
+            link = ControlLink(self._context, parse_address(host), PeerReply)
+            self._links[host] = link
+        return await link.ask(request, timeout_s)
 
     def close(self) -> None:
         """Close all links."""
--- a/lycheespar/control/quorum.py
+++ b/lycheespar/control/quorum.py
@@ -5,7 +5,13 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-from lycheespar.control.entries import LogEntry, ReplaceDisk, Voters
+from lycheespar.control.entries import (
+    LogEntry,
+    RemoveVoter,
+    ReplaceDisk,
+    Voters,
+    changed_voters,
+)
 
 # A voter: name of the control host and id of its disk.
 Voter = tuple[str, str]
@@ -30,8 +36,8 @@
     sets = [committed]
     for entry in pending:
         match entry.content:
-            case ReplaceDisk(host, disk):
-                sets.append(sets[-1] | {host: disk})
+            case ReplaceDisk() | RemoveVoter() as change:
+                sets.append(changed_voters(sets[-1], change))
     return tuple(sets)
 
 
--- a/lycheespar/control/replica.py
+++ b/lycheespar/control/replica.py
@@ -19,6 +19,7 @@
     FIRST_TERM,
     FormGroup,
     LogEntry,
+    RemoveVoter,
     ReplaceDisk,
     Voters,
 )
@@ -171,7 +172,7 @@
         changes_voters = [
             found.index
             for found in applied
-            if isinstance(found.content, FormGroup | ReplaceDisk)
+            if isinstance(found.content, FormGroup | ReplaceDisk | RemoveVoter)
         ]
         if changes_voters:
             self._learn_voters(changes_voters[-1])
--- a/lycheespar/control/state.py
+++ b/lycheespar/control/state.py
@@ -6,15 +6,23 @@
 
 import msgspec
 
-from lycheespar.configuration.changes import Change, Command, apply
+from lycheespar.configuration.changes import (
+    Change,
+    Command,
+    apply,
+    follows,
+    is_late,
+)
 from lycheespar.configuration.model import Configuration
 from lycheespar.control.entries import (
     BeginTerm,
     FormGroup,
     LogEntry,
     Proposal,
+    RemoveVoter,
     ReplaceDisk,
     Voters,
+    changed_voters,
 )
 from lycheespar.errors import ChangeConflictError, ChangeInvalidError
 
@@ -104,8 +112,8 @@
                 self.group = group
                 self.founders = voters
                 self.voters = voters
-            case ReplaceDisk(host, disk):
-                self.voters = self.voters | {host: disk}
+            case ReplaceDisk() | RemoveVoter():
+                self.voters = changed_voters(self.voters, entry.content)
             case Proposal(command):
                 self._decide(command)
             case BeginTerm():
@@ -120,9 +128,9 @@
         known = self.outcomes.get(command.change_id)
         if known is not None:
             return known
-        if command.base_revision < self.revision:
+        if is_late(self.configuration, command):
             return Conflicted(self.revision)
-        if command.base_revision > self.revision:
+        if not follows(self.configuration, command):
             return None
         try:
             apply(self.configuration, command.change)
@@ -149,7 +157,7 @@
             self.outcomes.pop(next(iter(self.outcomes)))
 
     def _outcome(self, command: Command) -> CommandOutcome:
-        if command.base_revision != self.revision:
+        if not follows(self.configuration, command):
             return Conflicted(self.revision)
         try:
             self.configuration = apply(self.configuration, command.change)
--- a/lycheespar/drain.py
+++ b/lycheespar/drain.py
@@ -14,8 +14,6 @@
 from lycheespar.protocol.server import ChannelServer
 from lycheespar.targets.announcement import LocalTarget
 
-# Time for which other nodes may still send work after a drain was spread.
-SPREAD_S: Final = 1
 # Time for which callers' idle connections stay open after the port is closed.
 LINGER_S: Final = 0.5
 POLL_S: Final = 0.02
@@ -46,9 +44,18 @@
         Closed at the end.
     limit_s : float
         Longest time of the whole stop in seconds.
+    spread_s : float
+        Time in seconds for which others may still send new work.
     """
 
-    __slots__ = ('_channels', '_executor', '_ingress', '_limit_s', '_target')
+    __slots__ = (
+        '_channels',
+        '_executor',
+        '_ingress',
+        '_limit_s',
+        '_spread_s',
+        '_target',
+    )
 
     def __init__(
         self,
@@ -57,8 +64,10 @@
         ingress: IngressServer,
         channels: ChannelServer,
         limit_s: float,
+        spread_s: float,
     ) -> None:
         """Keep the parts; `run` does the work."""
+        self._spread_s = spread_s
         self._target = target
         self._executor = executor
         self._ingress = ingress
@@ -79,7 +88,7 @@
         await self._channels.stop()
 
     async def _finish(self) -> None:
-        await asyncio.sleep(SPREAD_S)
+        await asyncio.sleep(self._spread_s)
         await self._ingress.close_port()
         await self._ingress.finish(LINGER_S)
         while not self._executor.idle:
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -194,6 +194,12 @@
     retryable = True
 
 
+class TargetRefusedError(OverloadedError):
+    """The target itself refused the request, and says that it did not run."""
+
+    code = 'target_refused'
+
+
 class ColdTargetError(RefusedError):
     """The target is in cold start and bears no more now."""
 
@@ -233,7 +239,6 @@
     """The request was dropped before its start, its deadline being near."""
 
     code = 'deadline_unreachable'
-    status = 504
     retryable = True
 
 
--- a/lycheespar/ingress/answers.py
+++ b/lycheespar/ingress/answers.py
@@ -18,8 +18,20 @@
 _encoder = msgspec.json.Encoder()
 
 
-def problem(error: RequestError) -> web.Response:
-    """Answer with a coded problem (RFC 9457) and when to come back."""
+def problem(
+    error: RequestError,
+    *,
+    whole_retry_s: bool = True,
+) -> web.Response:
+    """Answer with a coded problem (RFC 9457) and when to come back.
+
+    Parameters
+    ----------
+    error : RequestError
+        Why there is no answer of a target.
+    whole_retry_s : bool
+        Whether the caller understands whole seconds only (RFC 9110).
+    """
     body = {
         'type': f'urn:lycheespar:{error.code}',
         'title': error.code.replace('_', ' '),
@@ -31,7 +43,10 @@
     }
     headers = {CODE_HEADER: error.code}
     if error.status >= 500:
-        headers[hdrs.RETRY_AFTER] = str(math.ceil(error.retry_after_s))
+        retry_s = error.retry_after_s
+        headers[hdrs.RETRY_AFTER] = (
+            str(math.ceil(retry_s)) if whole_retry_s else f'{retry_s:.3f}'
+        )
     return web.Response(
         status=error.status,
         body=_encoder.encode(body),
--- a/lycheespar/ingress/classify.py
+++ b/lycheespar/ingress/classify.py
@@ -9,17 +9,20 @@
 import xxhash
 from aiohttp import hdrs, web
 
-from lycheespar.call import Body, Call
+from lycheespar.call import Body, Call, Headers
 from lycheespar.configuration.model import DEFAULT_CLASS, Route, Service
+from lycheespar.configuration.routes import HostRoute
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import (
     BadRequestError,
+    NoTargetError,
     StaleConfigurationError,
     UnknownServiceError,
 )
 from lycheespar.ingress.body import read_body
 from lycheespar.ingress.headers import REQUEST_CLASS, call_depth, forwarded
-from lycheespar.targets.headers import DEADLINE
+from lycheespar.ingress.split import WeightedSplit
+from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 
 IDEMPOTENCY_KEY: Final = 'Idempotency-Key'
 TRACEPARENT: Final = 'traceparent'
@@ -62,57 +65,196 @@
     return _DEFAULT_ROUTES[method in SAFE_METHODS]
 
 
-async def classify(
-    request: web.BaseRequest,
-    configuration: ConfigurationView,
-    max_body_bytes: int,
-) -> Call:
-    """Build the call that a request asks for.
+class Classifier:
+    """Turns requests into calls.
 
-    Raises
-    ------
-    UnknownServiceError
-        There is no such service.
-    StaleConfigurationError
-        There may be such a service by now.
-    BadRequestError
-        A header can't be understood.
-    BodyTooLargeError
-        The body is longer than `max_body_bytes`.
-    LoopDetectedError
-        Too many calls are above this one.
+    Parameters
+    ----------
+    configuration : ConfigurationView
+        Services and their routes.
+    max_body_bytes : int
+        Largest body of a request, in bytes.
+    profile : HeaderProfile
+        Names of the headers.
+    own_service : str
+        Service of this host's target, told to the targets of calls that
+        begin here; empty if it is not told.
     """
-    headers = request.headers
-    name = service_name(headers.get(hdrs.HOST, ''))
-    service = configuration.services.get(name)
-    current = configuration.is_current
-    if service is None and not current:
-        raise StaleConfigurationError(f"'{name}' may be new")
-    if service is None:
-        raise UnknownServiceError(name)
-    route = find_route(service, request.method, request.raw_path)
-    depth = call_depth(headers)
-    request_class = _request_class(request, service, route, depth)
-    budget_s = _budget_ms(request, service, route) / MS_PER_S
-    deadline = asyncio.get_running_loop().time() + budget_s
-    body = await read_body(request, max_body_bytes)
-    return Call(
-        call_id=random.randbytes(_CALL_ID_BYTES),
-        service=name,
-        method=request.method,
-        path=request.raw_path,
-        headers=forwarded(headers, request.remote, depth, request_class),
-        body=body,
-        request_class=request_class,
-        weight=service.weight(request_class),
-        # The route may have changed since the configuration was current.
-        idempotent=route.idempotent and current,
-        deadline=deadline,
-        idempotency_key=headers.get(IDEMPOTENCY_KEY, ''),
-        fingerprint=_fingerprint(request, name, body),
-        traceparent=headers.get(TRACEPARENT, ''),
+
+    __slots__ = (
+        '_configuration',
+        '_max_body_bytes',
+        '_own_service',
+        '_profile',
+        '_split',
     )
 
+    def __init__(
+        self,
+        configuration: ConfigurationView,
+        max_body_bytes: int,
+        profile: HeaderProfile = DEFAULT_PROFILE,
+        own_service: str = '',
+    ) -> None:
+        """Keep the parts."""
+        self._configuration = configuration
+        self._max_body_bytes = max_body_bytes
+        self._profile = profile
+        self._own_service = own_service
+        self._split = WeightedSplit()
+
+    async def classify(self, request: web.BaseRequest) -> Call:
+        """Build the call that a request asks for.
+
+        Raises
+        ------
+        UnknownServiceError
+            There is no such service or route.
+        StaleConfigurationError
+            There may be such a service by now.
+        NoTargetError
+            The route leads nowhere.
+        BadRequestError
+            A header can't be understood.
+        BodyTooLargeError
+            The body is longer than allowed.
+        LoopDetectedError
+            Too many calls are above this one.
+        """
+        host = request.headers.get(hdrs.HOST, '')
+        route = self._configuration.routes.find(host, request.raw_path)
+        if route is not None:
+            return await self._by_route(request, route)
+        return await self._by_service(request, host)
+
+    async def _by_route(
+        self,
+        request: web.BaseRequest,
+        route: HostRoute,
+    ) -> Call:
+        """Build the call of a request that a route of the plan takes."""
+        service = self._split.choose(route)
+        if not service:
+            raise NoTargetError(f"route '{route.name}' has no weight")
+        deadline = self._deadline(request, route.deadline_ms)
+        body = await self._body(request)
+        depth = call_depth(request.headers)
+        return Call(
+            call_id=random.randbytes(_CALL_ID_BYTES),
+            service=service,
+            method=request.method,
+            path=request.raw_path,
+            headers=self._headers(request, depth, route.name),
+            body=body,
+            request_class=route.name,
+            weight=1 / (1 + route.priority),
+            idempotent=route.idempotent,
+            deadline=deadline,
+            fingerprint=_fingerprint(request, service, body),
+            traceparent=request.headers.get(TRACEPARENT, ''),
+            max_attempts=route.max_attempts,
+        )
+
+    async def _by_service(
+        self,
+        request: web.BaseRequest,
+        host: str,
+    ) -> Call:
+        """Build the call of a request that names a service and its team."""
+        configuration = self._configuration
+        current = configuration.is_current and not configuration.is_behind
+        if not configuration.current.revision or not current:
+            self._require_service(host)
+        name, service = self._named_service(host)
+        headers = request.headers
+        route = find_route(service, request.method, request.raw_path)
+        depth = call_depth(headers)
+        request_class = _request_class(request, service, route, depth)
+        deadline = self._deadline(
+            request,
+            route.deadline_ms or service.parameters.deadline_ms,
+        )
+        body = await self._body(request)
+        return Call(
+            call_id=random.randbytes(_CALL_ID_BYTES),
+            service=name,
+            method=request.method,
+            path=request.raw_path,
+            headers=self._headers(request, depth, request_class),
+            body=body,
+            request_class=request_class,
+            weight=service.weight(request_class),
+            # The route may have changed since the configuration was current.
+            idempotent=route.idempotent and configuration.is_current,
+            deadline=deadline,
+            idempotency_key=headers.get(IDEMPOTENCY_KEY, ''),
+            fingerprint=_fingerprint(request, name, body),
+            traceparent=headers.get(TRACEPARENT, ''),
+        )
+
+    def _require_service(self, host: str) -> None:
+        """Refuse what an older configuration lacks: it may exist by now."""
+        try:
+            known = service_name(host) in self._configuration.services
+        except BadRequestError:
+            known = False
+        if not known:
+            raise StaleConfigurationError(f"'{host}' may be new")
+
+    def _named_service(self, host: str) -> tuple[str, Service]:
+        """Return the service that a host names.
+
+        Raises
+        ------
+        UnknownServiceError
+            There is none, nor a route for the host.
+        BadRequestError
+            The host names no service, and there are no routes by host.
+        """
+        try:
+            name = service_name(host)
+        except BadRequestError as error:
+            if len(self._configuration.routes):
+                raise UnknownServiceError(host) from error
+            raise
+        service = self._configuration.services.get(name)
+        if service is None:
+            raise UnknownServiceError(name)
+        return name, service
+
+    async def _body(self, request: web.BaseRequest) -> Body:
+        limit = self._configuration.current.plan.limits.max_body_bytes
+        return await read_body(request, limit or self._max_body_bytes)
+
+    def _deadline(self, request: web.BaseRequest, longest_ms: float) -> float:
+        """Return the instant at which the time of a request is up."""
+        budget_ms = longest_ms
+        given = request.headers.get(self._profile.deadline)
+        if given is not None:
+            if not given.isdecimal():
+                raise BadRequestError(
+                    f'{self._profile.deadline} must be whole milliseconds',
+                )
+            budget_ms = min(int(given), longest_ms)
+        now = asyncio.get_running_loop().time()
+        return now + budget_ms / MS_PER_S
+
+    def _headers(
+        self,
+        request: web.BaseRequest,
+        depth: int,
+        request_class: str,
+    ) -> Headers:
+        kept = forwarded(request.headers, request.remote, depth, request_class)
+        name = self._profile.caller_service
+        if not name:
+            return kept
+        lowered = name.lower()
+        return (
+            *(pair for pair in kept if pair[0].lower() != lowered),
+            (name, self._own_service),
+        )
+
 
 def _request_class(
     request: web.BaseRequest,
@@ -127,20 +269,6 @@
     return route.request_class or DEFAULT_CLASS
 
 
-def _budget_ms(
-    request: web.BaseRequest,
-    service: Service,
-    route: Route,
-) -> float:
-    budget_ms = route.deadline_ms or service.parameters.deadline_ms
-    given = request.headers.get(DEADLINE)
-    if given is None:
-        return budget_ms
-    if not given.isdecimal():
-        raise BadRequestError(f'{DEADLINE} must be whole milliseconds')
-    return min(int(given), budget_ms)
-
-
 def _fingerprint(request: web.BaseRequest, name: str, body: Body) -> bytes:
     digest = xxhash.xxh3_128()
     digest.update(f'{name} {request.method} {request.raw_path} '.encode())
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -11,13 +11,13 @@
 
 from lycheespar.call import Answer, Dispatch
 from lycheespar.config.options import Address
-from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import InternalRequestError, RequestError
 from lycheespar.ingress.answers import problem, respond
 from lycheespar.ingress.body import CallerBody
-from lycheespar.ingress.classify import classify
+from lycheespar.ingress.classify import Classifier
 from lycheespar.ingress.connection import CallerServer, reset
 from lycheespar.ingress.listener import open_listener, refuse_new
+from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.streams import close_stream
 
 KEEPALIVE_S: Final = 75
@@ -35,20 +35,20 @@
 
     Parameters
     ----------
-    configuration : ConfigurationView
-        Services and their routes.
+    classifier : Classifier
+        Turns requests into calls.
     dispatch : Dispatch
         Runs the calls.
-    max_body_bytes : int
-        Largest body of a request in bytes.
+    profile : HeaderProfile
+        Names of the headers.
     """
 
     __slots__ = (
-        '_configuration',
+        '_classifier',
         '_dispatch',
         '_draining',
         '_listener',
-        '_max_body_bytes',
+        '_profile',
         '_runner',
         '_server',
         '_under_way',
@@ -56,14 +56,14 @@
 
     def __init__(
         self,
-        configuration: ConfigurationView,
+        classifier: Classifier,
         dispatch: Dispatch,
-        max_body_bytes: int,
+        profile: HeaderProfile = DEFAULT_PROFILE,
     ) -> None:
         """Keep the parts; `start` opens the port."""
-        self._configuration = configuration
+        self._classifier = classifier
         self._dispatch = dispatch
-        self._max_body_bytes = max_body_bytes
+        self._profile = profile
         self._draining = False
         self._under_way = 0
         self._listener: socket.socket | None = None
@@ -137,10 +137,10 @@
         try:
             answer = await self._run(request)
         except RequestError as error:
-            return problem(error)
+            return self._problem(error)
         except Exception as error:  # a bug must not cost the connection
             log.exception('A request failed.')
-            return problem(InternalRequestError(str(error)))
+            return self._problem(InternalRequestError(str(error)))
         try:
             return await respond(request, answer, closing=self._draining)
         except RequestError as error:
@@ -150,12 +150,11 @@
         finally:
             await close_stream(answer.body)
 
+    def _problem(self, error: RequestError) -> web.Response:
+        return problem(error, whole_retry_s=self._profile.whole_retry_s)
+
     async def _run(self, request: web.BaseRequest) -> Answer:
-        call = await classify(
-            request,
-            self._configuration,
-            self._max_body_bytes,
-        )
+        call = await self._classifier.classify(request)
         try:
             return await self._dispatch.dispatch(call)
         except RequestError as error:
--- a/lycheespar/membership/detector.py
+++ b/lycheespar/membership/detector.py
@@ -10,7 +10,7 @@
 
 from msgspec.structs import replace
 
-from lycheespar.configuration.view import ConfigurationView
+from lycheespar.configuration.stamp import StampTable
 from lycheespar.membership.endpoint import Endpoint, HostPort
 from lycheespar.membership.messages import (
     Ack,
@@ -45,7 +45,7 @@
         Port to send from.
     suspect : Callable
         Takes the verdict on a member that no one could reach.
-    configuration : ConfigurationView
+    configuration : StampTable
         Takes each stamp that a member answers with.
     """
 
@@ -69,7 +69,7 @@
         members: MembershipView,
         endpoint: Endpoint,
         suspect: Callable[[Verdict], None],
-        configuration: ConfigurationView,
+        configuration: StampTable,
     ) -> None:
         """Keep the parts."""
         self._own = own
--- a/lycheespar/membership/gossip.py
+++ b/lycheespar/membership/gossip.py
@@ -9,8 +9,7 @@
 from loguru import logger
 from msgspec.structs import replace
 
-from lycheespar.config.options import Address
-from lycheespar.configuration.view import ConfigurationView
+from lycheespar.configuration.stamp import StampTable
 from lycheespar.membership.broadcast import BroadcastTable
 from lycheespar.membership.detector import PROBE_PERIOD_S, Detector
 from lycheespar.membership.endpoint import Endpoint, HostPort
@@ -50,28 +49,33 @@
     ----------
     own : MemberRecord
         Record of this node.
-    seeds : tuple[Address, ...]
+    seeds : tuple[HostPort, ...]
         Gossip addresses to begin with.
     members : MembershipView
         Table that is kept up to date.
-    configuration : ConfigurationView
+    configuration : StampTable
         Source and sink of freshness stamps.
     broadcasts : BroadcastTable
         Facts to spread.
+
+    Attributes
+    ----------
+    seeds : tuple[HostPort, ...]
+        Addresses at which members are looked for; may be replaced.
     """
 
     def __init__(
         self,
         own: MemberRecord,
-        seeds: tuple[Address, ...],
+        seeds: tuple[HostPort, ...],
         members: MembershipView,
-        configuration: ConfigurationView,
+        configuration: StampTable,
         broadcasts: BroadcastTable,
     ) -> None:
         """Keep the parts; `start` opens the port."""
         self._own = own
         address = (own.host, own.gossip_port)
-        self._seeds = tuple((seed.host, seed.port) for seed in seeds)
+        self.seeds = seeds
         self._members = members
         self._configuration = configuration
         self._broadcasts = broadcasts
@@ -154,7 +158,7 @@
         alone = not self._detector.peers(1)
         period_s = JOIN_PERIOD_S if alone else REJOIN_PERIOD_S
         self._rejoin_at = now + period_s * self._random.uniform(0.5, 1.5)
-        lost = self._tracker.lost(self._seeds)
+        lost = self._tracker.lost(self.seeds)
         if lost:
             self._detector.probe(self._random.choice(lost))
 
--- a/lycheespar/membership/records.py
+++ b/lycheespar/membership/records.py
@@ -93,6 +93,8 @@
         Verdict of the failure detector.
     refutation : int
         Grows each time that the node refutes a verdict on this version.
+    control_port : int
+        Port at which a control host answers nodes; 0 for other members.
     """
 
     node: str
@@ -108,6 +110,7 @@
     slots: int = 0
     liveness: Liveness = Liveness.alive
     refutation: int = 0
+    control_port: int = 0
 
     @property
     def takes_work(self) -> bool:
--- /dev/null
+++ b/lycheespar/platform/readiness.py
@@ -0,0 +1,42 @@
+"""Answers the platform's question if a node is ready."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from aiohttp import web
+
+from lycheespar.config.options import Address
+
+READY_PATH: Final = '/api/ready'
+
+
+class ReadinessServer:
+    """Answers with 200 while the node is ready, else with 503.
+
+    Parameters
+    ----------
+    is_ready : Callable[[], bool]
+        Whether callers may use the node now.
+    """
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        """Keep the question; `start` opens the port."""
+        self._is_ready = is_ready
+        self._runner = web.ServerRunner(web.Server(self._handle))
+
+    async def start(self, address: Address) -> None:
+        """Listen on an address."""
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, address.host, address.port)
+        await site.start()
+
+    async def stop(self) -> None:
+        """Close the port."""
+        await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        if request.path != READY_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._is_ready() else 503)
--- a/lycheespar/routing/policy.py
+++ b/lycheespar/routing/policy.py
@@ -18,6 +18,8 @@
 
 # Attempts of one call, hedges included.
 MAX_ATTEMPTS: Final = 3
+# Refusals of nodes, which reach no target, after which a call is given up.
+MAX_REFUSALS: Final = 3
 # Attempts of a call that broke its connection to the target.
 MAX_LOST: Final = 2
 # Failures after which no other attempt helps.
--- a/lycheespar/routing/progress.py
+++ b/lycheespar/routing/progress.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 from lycheespar.call import Answer, Call
-from lycheespar.errors import NoTargetError, RequestError, TargetLostError
+from lycheespar.errors import (
+    NoTargetError,
+    RefusedError,
+    RequestError,
+    TargetLostError,
+    TargetRefusedError,
+)
 from lycheespar.routing.budget import RetryBudget
 from lycheespar.routing.policy import (
     MAX_ATTEMPTS,
+    MAX_REFUSALS,
     RUN_COST,
     may_repeat,
     retry_cost,
@@ -37,6 +44,7 @@
         '_call',
         '_failure',
         '_lost',
+        '_refusals',
         'tried',
     )
 
@@ -47,6 +55,7 @@
         self._budget = budget
         self._attempts = 0
         self._lost = 0
+        self._refusals = 0
         self._answer: Answer | None = None
         self._failure: RequestError | None = None
 
@@ -62,12 +71,17 @@
         self._lost += isinstance(error, TargetLostError)
         self._failure = worse(self._failure, error)
         cost = retry_cost(self._call, error, self._lost)
-        return cost is not None and self.pay(cost)
+        if cost is None:
+            return False
+        refused = isinstance(error, RefusedError)
+        if refused and not isinstance(error, TargetRefusedError):
+            return self._pay_refusal(cost)
+        return self.pay(cost)
 
     def pay(self, cost: float) -> bool:
         """Pay for another attempt; say whether it may be made."""
         self._attempts += 1
-        if self._attempts >= MAX_ATTEMPTS:
+        if self._attempts >= (self._call.max_attempts or MAX_ATTEMPTS):
             return False
         return self._budget.withdraw(cost)
 
@@ -82,3 +96,10 @@
         if self._answer is None:
             raise self._failure or NoTargetError(self._call.service)
         return self._answer
+
+    def _pay_refusal(self, cost: float) -> bool:
+        """Pay for an attempt after one that reached no target."""
+        self._refusals += 1
+        if self._refusals >= MAX_REFUSALS:
+            return False
+        return self._budget.withdraw(cost)
--- a/lycheespar/routing/table.py
+++ b/lycheespar/routing/table.py
@@ -11,6 +11,9 @@
 LOAD_HALF_LIFE_S: Final = 0.5
 # Time in which half of the trust in a reported latency is lost.
 LATENCY_HALF_LIFE_S: Final = 0.3
+# Time in which half of the trust in a told pace is lost: it changes many
+# times a second.
+PACE_HALF_LIFE_S: Final = 0.1
 # Rest of a target that is away: first, and longest after further ones.
 SHORTEST_REST_S: Final = 0.5
 LONGEST_REST_S: Final = 8
@@ -147,7 +150,13 @@
         return (self.in_flight + 1) / limit + others + usual * (1 - trust)
 
     def slowness(self, now: float) -> float:
-        """Latency as a multiple of that of an ordinary target."""
+        """Latency as a multiple of that of an ordinary target.
+
+        The pace that the target tells goes before what calls took.
+        """
+        if self.load.pace != 1:
+            trust = decay(now - self.load_at, PACE_HALF_LIFE_S)
+            return 1 + (self.load.pace - 1) * trust
         usual = self._average.latency_ms
         if not usual:
             return 1
--- a/lycheespar/targets/announcement.py
+++ b/lycheespar/targets/announcement.py
@@ -36,6 +36,8 @@
         Time in seconds for which the announcement holds.
     load_path : str
         Path of its load endpoint, empty without one.
+    cold_s : float
+        Time for which the target stays cold, in seconds.
     """
 
     target: str
@@ -48,10 +50,13 @@
     incarnation: str = ''
     lease_s: float = 5
     load_path: str = ''
+    cold_s: float = 0
 
     @property
     def service_name(self) -> str:
-        """``team/service``."""
+        """``team/service``, or the service alone where it has no team."""
+        if not self.team:
+            return self.service
         return f'{self.team}/{self.service}'
 
     @property
@@ -117,6 +122,12 @@
         if current is not None and current.state is not Phase.left:
             self._subject.on_next(replace(current, phase='draining'))
 
+    def leave(self) -> None:
+        """Mark the target as leaving: it takes no new work."""
+        current = self.current
+        if current is not None and current.state is not Phase.left:
+            self._subject.on_next(replace(current, phase='leaving'))
+
     def _expire(self) -> None:
         self._expiry = None
         self._subject.on_next(None)
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Final
+from functools import partial
+from typing import Any, Final
 
 import aiohttp
 from aiohttp import hdrs
+from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
-from lycheespar.call import Answer, Body, Call, Load
+from lycheespar.call import Answer, Body, Call, Headers, Load
 from lycheespar.errors import (
     CallerLostError,
     DeadlineExceededError,
@@ -17,11 +19,12 @@
     TargetLostError,
     TruncatedAnswerError,
 )
+from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.protocol.body import INLINE_BYTES
 from lycheespar.protocol.sockets import tuned_socket
 from lycheespar.targets.announcement import Announcement
 from lycheespar.targets.body import RequestBody, ResponseBody
-from lycheespar.targets.headers import end_to_end, with_deadline
+from lycheespar.targets.headers import end_to_end, for_target, header
 
 CONNECT_TIMEOUT_S: Final = 1
 # Shorter than the idle time after which common servers close connections, so
@@ -46,15 +49,30 @@
     ----------
     announcement : Announcement
         Says where the target is and how many connections it bears.
+    profile : HeaderProfile
+        Names of the headers.
     """
 
-    __slots__ = ('_base', '_retired', '_session', '_under_way')
+    __slots__ = (
+        '_base',
+        '_profile',
+        '_retired',
+        '_session',
+        '_target',
+        '_under_way',
+    )
 
-    def __init__(self, announcement: Announcement) -> None:
+    def __init__(
+        self,
+        announcement: Announcement,
+        profile: HeaderProfile = DEFAULT_PROFILE,
+    ) -> None:
         """Prepare a pool of connections; none is opened yet."""
+        self._target = announcement.target
+        self._profile = profile
         self._base = f'http://{announcement.address}'
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=_CleanConnector(
                 limit=announcement.connections,
                 use_dns_cache=False,
                 keepalive_timeout=IDLE_S,
@@ -120,6 +138,7 @@
         try:
             async with asyncio.timeout_at(call.deadline):
                 response = await self._request(call, streamed)
+                self._check_identity(call, response)
                 body = await _read_small(call, response)
         except TimeoutError as error:
             raise DeadlineExceededError from error
@@ -148,7 +167,7 @@
         return await self._session.request(
             call.method,
             URL(self._base + call.path, encoded=True),
-            headers=with_deadline(call.headers, left_s * MS_PER_S),
+            headers=self._headers(call, left_s),
             data=call.body or None if chunks is None else chunks,
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(
@@ -157,6 +176,35 @@
             ),
         )
 
+    def _headers(self, call: Call, left_s: float) -> Headers:
+        """Return the headers of a call with those that this hop sets."""
+        left_ms = max(1, int(left_s * MS_PER_S))
+        return for_target(
+            call.headers,
+            (
+                (self._profile.deadline, str(left_ms)),
+                (self._profile.expected_target, self._target),
+            ),
+        )
+
+    def _check_identity(
+        self,
+        call: Call,
+        response: aiohttp.ClientResponse,
+    ) -> None:
+        """Refuse an answer that names another request.
+
+        Raises
+        ------
+        TargetLostError
+            The connection is out of step; it is closed.
+        """
+        name = self._profile.request_id
+        asked = header(call.headers, name) if name else ''
+        if asked and response.headers.get(name) != asked:
+            response.close()
+            raise TargetLostError('the answer names another request')
+
     def _end(self) -> None:
         self._under_way -= 1
         if not self._under_way:
@@ -164,6 +212,27 @@
             self._retired.clear()
 
 
+class _CleanProtocol(ResponseHandler):
+    """Connection that is not used again once stray bytes came on it.
+
+    Bytes behind a complete answer would be read as the next one.
+    """
+
+    def is_connected(self) -> bool:
+        """Whether the connection is open and nothing unread is on it."""
+        return super().is_connected() and not self.should_close
+
+
+class _CleanConnector(aiohttp.TCPConnector):
+    """Makes connections that stray bytes disqualify."""
+
+    def __init__(self, **options: Any) -> None:
+        """Keep the options of the base class."""
+        super().__init__(**options)
+        make: Any = partial(_CleanProtocol, loop=self._loop)
+        self._factory = make
+
+
 async def _never_resend(
     request: aiohttp.ClientRequest,
     handler: aiohttp.ClientHandlerType,
--- a/lycheespar/targets/headers.py
+++ b/lycheespar/targets/headers.py
@@ -21,8 +21,6 @@
         'upgrade',
     )
 )
-DEADLINE: Final = 'X-Deadline-Ms'
-NOT_RUN: Final = 'X-Not-Run'
 
 
 def end_to_end(headers: Iterable[tuple[str, str]]) -> Headers:
@@ -43,8 +41,21 @@
     )
 
 
-def with_deadline(headers: Headers, budget_ms: float) -> Headers:
-    """Replace the deadline header by the milliseconds that are left."""
-    lowered = DEADLINE.lower()
-    kept = (pair for pair in headers if pair[0].lower() != lowered)
-    return (*kept, (DEADLINE, str(max(1, int(budget_ms)))))
+def for_target(
+    headers: Headers,
+    replaced: Iterable[tuple[str, str]],
+) -> Headers:
+    """Replace headers by those that this hop sets; empty names are skipped."""
+    pairs = tuple(pair for pair in replaced if pair[0])
+    lowered = frozenset(name.lower() for name, _ in pairs)
+    kept = (pair for pair in headers if pair[0].lower() not in lowered)
+    return (*kept, *pairs)
+
+
+def header(headers: Headers, name: str) -> str:
+    """Return the text of a header, empty without one."""
+    lowered = name.lower()
+    return next(
+        (text for known, text in headers if known.lower() == lowered),
+        '',
+    )
--- a/lycheespar/targets/probes.py
+++ b/lycheespar/targets/probes.py
@@ -9,7 +9,9 @@
 import msgspec
 
 from lycheespar.membership.records import Phase
+from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.targets.announcement import Announcement, LocalTarget
+from lycheespar.targets.load import LoadReport, decode_body, decode_headers
 
 # Cost of one probe at the target, counted even if the answer comes sooner.
 PROBE_COST_MS: Final = 6
@@ -61,18 +63,6 @@
         self._at = now
 
 
-class LoadReport(msgspec.Struct, frozen=True):
-    """Answer of a load endpoint; it may be late or wrong.
-
-    Attributes
-    ----------
-    running : int
-        Requests that run at the target.
-    """
-
-    running: int = 0
-
-
 class Watched(Protocol):
     """Who wants to know how the target is."""
 
@@ -84,8 +74,12 @@
     def probe_budget_ms_per_s(self) -> float:
         """Time that probes may cost, in milliseconds a second."""
 
-    def report(self, running: int) -> None:
-        """Take the number of requests that the target says it runs."""
+    @property
+    def load_path(self) -> str:
+        """Path of the load endpoint of the service's targets, or empty."""
+
+    def report(self, report: LoadReport) -> None:
+        """Take what the target says of its load."""
 
     def restarted(self) -> None:
         """Take that the target takes no connections."""
@@ -123,19 +117,29 @@
         The target of this node.
     watched : Watched
         Told what the probes find.
+    profile : HeaderProfile
+        Names of the headers; where it names one for the load, the target
+        tells it there, and is probed also while calls end.
     """
 
     __slots__ = (
         '_budget',
         '_counts',
+        '_profile',
         '_session',
         '_target',
         '_task',
         '_watched',
     )
 
-    def __init__(self, target: LocalTarget, watched: Watched) -> None:
+    def __init__(
+        self,
+        target: LocalTarget,
+        watched: Watched,
+        profile: HeaderProfile = DEFAULT_PROFILE,
+    ) -> None:
         """Keep the parts; `start` begins to probe."""
+        self._profile = profile
         self._target = target
         self._watched = watched
         self._counts = ProbeCounts()
@@ -162,9 +166,10 @@
 
     async def _run(self) -> None:
         while True:
-            url = _load_url(self._target.current)
+            url = _load_url(self._target.current, self._watched.load_path)
             wait_s = self._wait_s()
-            if url and not wait_s and self._watched.quiet_s >= QUIET_S:
+            wanted = self._profile.load or self._watched.quiet_s >= QUIET_S
+            if url and not wait_s and wanted:
                 await self._probe(url)
             await asyncio.sleep(min(max(wait_s, SHORTEST_POLL_S), QUIET_S))
 
@@ -186,7 +191,7 @@
         except (aiohttp.ClientError, OSError, msgspec.DecodeError):
             self._counts.failures += 1
         else:
-            self._watched.report(report.running)
+            self._watched.report(report)
         finally:
             cost_ms = (loop.time() - began_at) * MS_PER_S
             self._pay(max(cost_ms, PROBE_COST_MS))
@@ -201,11 +206,10 @@
         self._counts.link_bytes += HEAD_BYTES
         async with self._session.get(url, allow_redirects=False) as response:
             body = await response.content.read(LARGEST_ANSWER_BYTES)
-        self._counts.link_bytes += len(body)
-        return _decoder.decode(body)
-
-
-_decoder = msgspec.json.Decoder(LoadReport)
+            self._counts.link_bytes += len(body)
+            if self._profile.load:
+                return decode_headers(response.headers, self._profile)
+        return decode_body(body)
 
 
 def _open_session() -> aiohttp.ClientSession:
@@ -216,10 +220,13 @@
     )
 
 
-def _load_url(announced: Announcement | None) -> str:
+def _load_url(announced: Announcement | None, service_path: str) -> str:
     """Return the URL of the load endpoint, empty where none is probed."""
-    if announced is None or not announced.load_path:
+    if announced is None:
+        return ''
+    path = announced.load_path or service_path
+    if not path:
         return ''
     if announced.state not in {Phase.cold, Phase.ready}:
         return ''
-    return f'http://{announced.address}{announced.load_path}'
+    return f'http://{announced.address}{path}'
--- a/lycheespar/telemetry/hops.py
+++ b/lycheespar/telemetry/hops.py
@@ -4,6 +4,7 @@
 
 from lycheespar.call import Answer, Call, Execution, Headers, Load
 from lycheespar.membership.records import MemberRecord
+from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.protocol.messages import Hello
 from lycheespar.routing.pool import ChannelPool
 from lycheespar.targets.announcement import Announcement
@@ -54,9 +55,14 @@
 
     __slots__ = ('_tracer',)
 
-    def __init__(self, announcement: Announcement, tracer: Tracer) -> None:
+    def __init__(
+        self,
+        announcement: Announcement,
+        tracer: Tracer,
+        profile: HeaderProfile = DEFAULT_PROFILE,
+    ) -> None:
         """Prepare a pool of connections; none is opened yet."""
-        super().__init__(announcement)
+        super().__init__(announcement, profile)
         self._tracer = tracer
 
     async def send(self, call: Call, load: Load) -> Answer:
--- a/lycheespar/telemetry/parts.py
+++ b/lycheespar/telemetry/parts.py
@@ -11,6 +11,7 @@
 
 from lycheespar.call import Dispatch, Execution
 from lycheespar.config.settings import NodeSettings
+from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.protocol.messages import Hello
 from lycheespar.routing.pool import ChannelPool
 from lycheespar.targets.announcement import Announcement
@@ -28,12 +29,19 @@
     ----------
     settings : NodeSettings
         Say what is on.
+    profile : HeaderProfile
+        Names of the headers.
     """
 
-    __slots__ = ('_metrics', '_tracer')
+    __slots__ = ('_metrics', '_profile', '_tracer')
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        profile: HeaderProfile = DEFAULT_PROFILE,
+    ) -> None:
         """Build what is on."""
+        self._profile = profile
         self._metrics = _metrics(settings)
         self._tracer = _tracer(settings)
 
@@ -84,12 +92,12 @@
     def connect(self, announcement: Announcement) -> TargetClient:
         """Return a client of a target, which traces if traces are on."""
         if self._tracer is None:
-            return TargetClient(announcement)
+            return TargetClient(announcement, self._profile)
         from lycheespar.telemetry.hops import (  # noqa: PLC0415
             TracedTargetClient,
         )
 
-        return TracedTargetClient(announcement, self._tracer)
+        return TracedTargetClient(announcement, self._tracer, self._profile)
 
     def add_gauges(self, source: Gauges) -> None:
         """Read gauges from a source before each batch."""
--- a/lycheespar/tests/control/follower_tests.py
+++ b/lycheespar/tests/control/follower_tests.py
@@ -104,7 +104,7 @@
             lambda found: self.revisions.append(found.revision),
         )
         self.follower = ConfigurationFollower(
-            'node-1', self.view, self.hosts, saved
+            'node-1', self.view, lambda: self.hosts, saved
         )
         self.follower.start()
 
@@ -115,8 +115,7 @@
 
     def asked(self) -> Host:
         """Return the control host that the node asks now."""
-        links = self.follower._links
-        return max(links, key=lambda host: host.pulls)
+        return max(self.hosts, key=lambda host: host.pulls)
 
 
 def test_a_change_is_in_force_at_once():
--- a/lycheespar/tests/control/leadership_tests.py
+++ b/lycheespar/tests/control/leadership_tests.py
@@ -8,6 +8,7 @@
 from lycheespar.control.leadership import Leadership
 from lycheespar.control.peer_messages import Append, AppendReply
 from lycheespar.control.replica import Replica, Role
+from lycheespar.control.roster import Roster
 from lycheespar.control.storage import Storage
 from lycheespar.tests.control.groups import TIMING, command, until
 
@@ -44,9 +45,8 @@
     replica.commit(1)
     replica.role = Role.leader
     followers = _Followers(2)
-    leadership = Leadership(
-        replica, followers, ('control-1', 'control-2'), TIMING
-    )
+    roster = Roster(replica, ('control-1', 'control-2'))
+    leadership = Leadership(replica, followers, roster, TIMING)
     leading = asyncio.create_task(leadership.run())
     await until(lambda: followers.asked > 8)
     assert replica.state.index == 1
--- a/lycheespar/tests/ingress/server_tests.py
+++ b/lycheespar/tests/ingress/server_tests.py
@@ -21,6 +21,7 @@
 )
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import OverloadedError, TruncatedAnswerError
+from lycheespar.ingress.classify import Classifier
 from lycheespar.ingress.server import IngressServer
 from lycheespar.streams import GuardedStream
 
@@ -72,9 +73,8 @@
         )
         self.dispatch = dispatch
         self.server = IngressServer(
-            ConfigurationView(configuration),
+            Classifier(ConfigurationView(configuration), LIMIT),
             dispatch,
-            LIMIT,
         )
 
     async def connect(self):
--- a/lycheespar/tests/membership/members.py
+++ b/lycheespar/tests/membership/members.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Iterable
 
-from lycheespar.config.options import Address
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.stamp import Stamp
 from lycheespar.configuration.view import ConfigurationView
@@ -43,9 +42,7 @@
         )
         self.gossip = Gossip(
             record,
-            tuple(
-                Address(f'127.1.0.{seed + 1}', PORT) for seed in range(SEEDS)
-            ),
+            tuple((f'127.1.0.{seed + 1}', PORT) for seed in range(SEEDS)),
             self.view,
             self.configuration,
             self.facts,
