Nodes ask a few candidates for their load at the time of choice; hedges by objective

Cause: a target's pace changes many times a second, reports that came with earlier answers are seconds old at ten nodes. Ruled out: pushing each change to all nodes, which grows with the square of the nodes.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -217,6 +217,7 @@
                 execution,
                 self._pool,
                 Picker(self._settings.data_centre, random.Random()),
+                lambda: self._executor.load,
             ),
             self._configuration,
         )
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -70,6 +70,9 @@
         W3C trace context, empty for requests that are not traced.
     max_attempts : int
         Targets to which the request may be sent; 0 for the usual number.
+    hedge_after_s : float
+        Time in seconds without an answer after which an idempotent request is
+        run elsewhere too; 0 for what the service says.
     started : bool
         Whether the request may have been sent to a target; set just before.
     """
@@ -88,6 +91,7 @@
     fingerprint: bytes = b''
     traceparent: str = ''
     max_attempts: int = 0
+    hedge_after_s: float = 0
     started: bool = False
 
 
--- a/lycheespar/configuration/model.py
+++ b/lycheespar/configuration/model.py
@@ -14,6 +14,9 @@
 PLANNED_QUEUE_LIMIT: Final = 24
 # Longest wait there in milliseconds; routes' deadlines bound it further.
 PLANNED_QUEUE_MS: Final = 300
+# Retries and hedges as a share of fresh requests: a little over half of the
+# fifth that targets of a plan bear, as calls of a repeated run count too.
+PLANNED_RETRY_SHARE: Final = 0.12
 # Ten probes a second of 6 ms each, so that a target that turns cold is found
 # before it has got more than it bears.
 PLANNED_PROBE_MS_PER_S: Final = 60
@@ -237,6 +240,7 @@
             # The rate bounds a cold target, not a share of its slots.
             cold_share=1,
             cold_per_s=profile.cold_per_s,
+            retry_share=PLANNED_RETRY_SHARE,
             queue_limit=PLANNED_QUEUE_LIMIT,
             queue_ms=PLANNED_QUEUE_MS,
             probe_budget_ms_per_s=PLANNED_PROBE_MS_PER_S,
--- a/lycheespar/ingress/classify.py
+++ b/lycheespar/ingress/classify.py
@@ -30,6 +30,9 @@
 # Methods that are idempotent by definition (RFC 9110, section 9.2.2) and safe.
 SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS'))
 _CALL_ID_BYTES: Final = 16
+# Part of its objective that a request waits before it is hedged: a second run
+# of usual length still fits in the rest.
+HEDGE_SHARE: Final = 0.5
 _DEFAULT_ROUTES: Final = {
     True: Route(idempotent=True),
     False: Route(),
@@ -153,6 +156,7 @@
             fingerprint=_fingerprint(request, service, body),
             traceparent=request.headers.get(TRACEPARENT, ''),
             max_attempts=route.max_attempts,
+            hedge_after_s=route.objective_ms * HEDGE_SHARE / MS_PER_S,
         )
 
     async def _by_service(
--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -8,7 +8,7 @@
 from functools import partial
 from typing import Final
 
-from lycheespar.call import Answer, Call
+from lycheespar.call import Answer, Call, Load
 from lycheespar.errors import (
     ChannelClosedError,
     ChannelLostError,
@@ -22,6 +22,7 @@
 from lycheespar.protocol.connection import FrameConnection
 from lycheespar.protocol.framing import read_frame
 from lycheespar.protocol.heartbeat import Heartbeat
+from lycheespar.protocol.loads import LoadQuestions
 from lycheespar.protocol.messages import (
     Accepted,
     BodyChunk,
@@ -30,6 +31,7 @@
     Cancel,
     CancelResult,
     Hello,
+    LoadReply,
     Message,
     Ping,
     Pong,
@@ -61,6 +63,7 @@
     __slots__ = (
         '_connection',
         '_heartbeat',
+        '_loads',
         '_peer',
         '_pending',
         '_reader',
@@ -80,6 +83,7 @@
         self._connection = connection
         self._peer = peer
         self._retired = False
+        self._loads = LoadQuestions(connection)
         self._pending = PendingTable(peer.clock_ms, self._retire)
         self._sending: dict[bytes, asyncio.Task[None]] = {}
         self._heartbeat = Heartbeat(
@@ -162,6 +166,14 @@
         finally:
             self._pending.drop(call_id)
 
+    def ask_load(self) -> asyncio.Future[Load]:
+        """Ask for the load of the other node's target at this instant.
+
+        Those who ask while an answer is on its way share it. The future is
+        cancelled if the channel is lost.
+        """
+        return self._loads.ask()
+
     async def recall(
         self,
         key: bytes,
@@ -260,6 +272,8 @@
                 )
             case CancelResult(call_id, started):
                 self._pending.cancelled(call_id, started=started)
+            case LoadReply(serial, load):
+                self._loads.take(serial, load)
             case Ping(serial):
                 self._connection.send(Pong(serial))
             case Pong(_, clock_ms):
@@ -306,4 +320,5 @@
     def _lose(self, error: ChannelLostError) -> None:
         """End all calls under way; each may have run."""
         self._pending.lose(error)
+        self._loads.cancel()
         self._connection.fail_bodies(TruncatedAnswerError('channel lost'))
--- a/lycheespar/protocol/messages.py
+++ b/lycheespar/protocol/messages.py
@@ -214,8 +214,23 @@
     attempt: bytes
 
 
+class AskLoad(_Message, frozen=True, tag=14):
+    """Asks for the load of the receiver's target at this instant."""
+
+    serial: int
+
+
+class LoadReply(_Message, frozen=True, tag=15):
+    """Answers an `AskLoad`, from memory."""
+
+    serial: int
+    load: Load
+
+
 Message = (
     Recall
+    | AskLoad
+    | LoadReply
     | Hello
     | Request
     | Accepted
--- a/lycheespar/protocol/peer.py
+++ b/lycheespar/protocol/peer.py
@@ -16,12 +16,14 @@
 from lycheespar.protocol.framing import read_frame
 from lycheespar.protocol.messages import (
     Accepted,
+    AskLoad,
     BodyChunk,
     BodyCredit,
     BodyEnd,
     Cancel,
     CancelResult,
     Hello,
+    LoadReply,
     Message,
     Ping,
     Pong,
@@ -159,6 +161,8 @@
                 self._recall(message)
             case Ping(serial):
                 self._connection.send(Pong(serial, self._clock_ms()))
+            case AskLoad(serial):
+                self._connection.send(LoadReply(serial, self._load()))
             case _:
                 return
 
--- a/lycheespar/protocol/remote.py
+++ b/lycheespar/protocol/remote.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Final
 
-from lycheespar.call import Answer, Call
+from lycheespar.call import Answer, Call, Load
 from lycheespar.errors import (
     CancelledRequestError,
     ChannelConnectError,
@@ -115,6 +115,19 @@
             lost.note(error)
             return await self._recover(lost)
 
+    def ask_load(self) -> asyncio.Future[Load] | None:
+        """Ask for the load of the node's target at this instant.
+
+        Returns nothing where no channel is open: one is opened for the calls
+        that follow.
+        """
+        if self._channel is not None and self._channel.usable:
+            return self._channel.ask_load()
+        if not self._closed and (self._opening is None or self._opening.done()):
+            self._opening = asyncio.create_task(self._open())
+            self._opening.add_done_callback(_read_error)
+        return None
+
     async def recall(
         self,
         key: bytes,
--- a/lycheespar/routing/picker.py
+++ b/lycheespar/routing/picker.py
@@ -11,10 +11,17 @@
 from lycheespar.routing.table import TargetState
 
 # Targets of this data centre, and of others, that are compared.
-LOCAL_SAMPLE: Final = 4
-REMOTE_SAMPLE: Final = 4
+LOCAL_SAMPLE: Final = 3
+REMOTE_SAMPLE: Final = 2
 # Costs in units of a target's whole limit.
-REMOTE_COST: Final = 0.2
+REMOTE_COST: Final = 0.05
+# What a kilobyte between data centres costs: an answer of 90 kB goes there
+# only where the nearer targets are full and slow.
+CROSSING_COST_A_KB: Final = 0.02
+# What each multiple of its usual time costs that work takes at a target.
+PACE_COST: Final = 0.2
+# What it costs that a node did not tell its load in time.
+MISSED_COST: Final = 1
 COLD_COST: Final = 0.3
 FAILURE_COST: Final = 4
 
@@ -45,7 +52,7 @@
         candidates: Sequence[TargetState],
         now: float,
     ) -> TargetState:
-        """Choose one of at least one candidate.
+        """Choose one of at least one candidate by what is known of them.
 
         Parameters
         ----------
@@ -54,17 +61,50 @@
         now : float
             Instant of the event loop's clock, in seconds.
         """
+        return self.cheapest(self.sample(candidates, now), now)
+
+    def sample(
+        self,
+        candidates: Sequence[TargetState],
+        now: float,
+    ) -> list[TargetState]:
+        """Return a few candidates to compare, of at least one."""
         healthy, outliers = split_outliers(candidates, now)
-        sample = self._sample(healthy or outliers)
-        return min(sample, key=lambda state: self.cost(state, now))
+        return self._sample(healthy or outliers)
+
+    def cheapest(
+        self,
+        sample: Sequence[TargetState],
+        now: float,
+        size_kb: float = 0,
+    ) -> TargetState:
+        """Return the target at which a call of some size costs least."""
+        return min(sample, key=lambda state: self.cost(state, now, size_kb))
 
-    def cost(self, state: TargetState, now: float) -> float:
-        """Cost of a call at a target, in units of the target's limit."""
+    def cost(
+        self,
+        state: TargetState,
+        now: float,
+        size_kb: float = 0,
+    ) -> float:
+        """Cost of a call at a target, in units of the target's limit.
+
+        Parameters
+        ----------
+        state : TargetState
+            The target.
+        now : float
+            Instant of the event loop's clock, in seconds.
+        size_kb : float
+            Kilobytes of the request and its answer.
+        """
         record = state.record
         cost = state.usage(now) * state.slowness(now)
+        cost += PACE_COST * state.slowdown(now)
         cost += FAILURE_COST * state.failure_share(now)
+        cost += MISSED_COST * state.is_silent(now)
         if record.data_centre != self._data_centre:
-            cost += REMOTE_COST
+            cost += REMOTE_COST + CROSSING_COST_A_KB * size_kb
         if record.phase is Phase.cold:
             cost += COLD_COST
         return cost
--- a/lycheespar/routing/pool.py
+++ b/lycheespar/routing/pool.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from lycheespar.call import Execution
+import asyncio
+
+from lycheespar.call import Execution, Load
 from lycheespar.membership.records import MemberRecord
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.remote import RemoteNode
@@ -31,6 +33,10 @@
         """Return the execution at a node; it opens its channel when used."""
         return self.remote(record)
 
+    def ask_load(self, record: MemberRecord) -> asyncio.Future[Load] | None:
+        """Ask a node for the load of its target, if its channel is open."""
+        return self.remote(record).ask_load()
+
     def remote(self, record: MemberRecord) -> RemoteNode:
         """Return a node, with one channel for all that use it."""
         incarnation, remote = self._nodes.get(record.node, (None, None))
--- a/lycheespar/routing/router.py
+++ b/lycheespar/routing/router.py
@@ -17,6 +17,7 @@
 from lycheespar.routing.hedge import first_answer
 from lycheespar.routing.policy import RUN_COST
 from lycheespar.routing.progress import Progress
+from lycheespar.routing.table import TargetState
 
 MS_PER_S: Final = 1000
 _CALL_ID_BYTES: Final = 16
@@ -68,8 +69,8 @@
         budget = self._budgets.of_service(call.service)
         budget.deposit(parameters.retry_share)
         progress = Progress(call, budget)
-        if parameters.hedge_after_ms and _may_hedge(call):
-            after_s = parameters.hedge_after_ms / MS_PER_S
+        after_s = call.hedge_after_s or parameters.hedge_after_ms / MS_PER_S
+        if after_s and _may_hedge(call):
             return await self._hedge(call, progress, after_s)
         return await self._run(call, progress)
 
@@ -86,16 +87,31 @@
         except asyncio.CancelledError:
             first.cancel()
             raise
-        if done or not progress.pay(RUN_COST):
+        if done:
             return await first_answer(first)
-        second = asyncio.create_task(self._run(_attempt(call), progress))
+        state = await self._attempts.choose(
+            call,
+            progress.tried,
+            only_free=True,
+        )
+        if state is None or first.done() or not progress.pay(RUN_COST):
+            return await first_answer(first)
+        second = asyncio.create_task(
+            self._run(_attempt(call), progress, state),
+        )
         return await first_answer(first, second)
 
-    async def _run(self, call: Call, progress: Progress) -> Answer:
-        """Try targets one after the other."""
+    async def _run(
+        self,
+        call: Call,
+        progress: Progress,
+        state: TargetState | None = None,
+    ) -> Answer:
+        """Try targets one after the other, from a chosen one on."""
         again = True
         while again:
-            state = self._attempts.choose(call.service, progress.tried)
+            if state is None:
+                state = await self._attempts.choose(call, progress.tried)
             if state is None:
                 break
             try:
@@ -106,6 +122,7 @@
                 again = progress.take_answer(answer)
             if again:
                 call = _attempt(call)
+                state = None
         return progress.result()
 
 
--- a/lycheespar/routing/table.py
+++ b/lycheespar/routing/table.py
@@ -14,6 +14,12 @@
 # Time in which half of the trust in a told pace is lost: it changes many
 # times a second.
 PACE_HALF_LIFE_S: Final = 0.1
+# Share of its limit up to which a target is free for a hedge.
+FREE_SHARE: Final = 0.8
+# Pace from which on a target is no better than the one that is late.
+SLOW_PACE: Final = 2
+# Time for which a node counts as silent that did not answer.
+SILENT_S: Final = 0.5
 # Rest of a target that is away: first, and longest after further ones.
 SHORTEST_REST_S: Final = 0.5
 LONGEST_REST_S: Final = 8
@@ -80,9 +86,11 @@
     __slots__ = (
         '_average',
         '_failure_share',
+        '_missed_at',
         '_others',
         '_outcome_at',
         '_rest_s',
+        '_tells_pace',
         'in_flight',
         'load',
         'load_at',
@@ -105,6 +113,8 @@
         self._rest_s = SHORTEST_REST_S
         self._average = Average() if average is None else average
         self._others = 0
+        self._tells_pace = False
+        self._missed_at = float('-inf')
         self._failure_share = 0.0
         self._outcome_at = float('-inf')
 
@@ -116,6 +126,7 @@
         """Take in the load that came with an answer or a refusal."""
         self.load = load
         self.load_at = now
+        self._tells_pace = self._tells_pace or load.pace != 1
         busy = load.running + load.queued
         self._others = max(busy - self.in_flight, 0)
         self._average.add(busy / max(load.limit, 1), load.latency_ms)
@@ -152,11 +163,10 @@
     def slowness(self, now: float) -> float:
         """Latency as a multiple of that of an ordinary target.
 
-        The pace that the target tells goes before what calls took.
+        Where the target tells its pace, `slowdown` counts instead.
         """
-        if self.load.pace != 1:
-            trust = decay(now - self.load_at, PACE_HALF_LIFE_S)
-            return 1 + (self.load.pace - 1) * trust
+        if self._tells_pace:
+            return 1
         usual = self._average.latency_ms
         if not usual:
             return 1
@@ -164,6 +174,27 @@
         ratio = max(self.load.latency_ms / usual, LEAST_SLOWNESS)
         return 1 + (ratio - 1) * trust
 
+    def slowdown(self, now: float) -> float:
+        """Return by how many times more than usual work takes, at least 0."""
+        trust = decay(now - self.load_at, PACE_HALF_LIFE_S)
+        return max(self.load.pace - 1, 0) * trust
+
+    @property
+    def is_free(self) -> bool:
+        """Whether a call could run at once at the usual pace, as reported."""
+        load = self.load
+        waits = load.queued or load.running >= load.limit * FREE_SHARE
+        return not waits and load.pace < SLOW_PACE
+
+    def miss(self, now: float) -> None:
+        """Note that the node did not tell its load when it was asked."""
+        self._missed_at = now
+
+    def is_silent(self, now: float) -> bool:
+        """Whether the node did not tell its load lately."""
+        missed_at = self._missed_at
+        return missed_at > self.load_at and now - missed_at < SILENT_S
+
     def failure_share(self, now: float) -> float:
         """Share of failures among the latest calls, 0 to 1."""
         own = self._own_failure_share(now)
--- a/lycheespar/tests/routing/fakes.py
+++ b/lycheespar/tests/routing/fakes.py
@@ -99,6 +99,9 @@
         """Return the channel to a node."""
         return FakeChannel(self, target.node)
 
+    def ask_load(self, target: MemberRecord) -> None:
+        """Say that no channel is open on which to ask."""
+
     async def run(self, node: str, asked: Call) -> Answer:
         """Run a call as scripted."""
         step = self._script(self.runs.total(), node)
@@ -147,5 +150,6 @@
         None,
         targets,
         picker,
+        Load,
     )
     return Router(attempts, configuration)
--- a/lycheespar/tests/routing/site.py
+++ b/lycheespar/tests/routing/site.py
@@ -146,6 +146,7 @@
                 execution,
                 self._pool,
                 Picker('ijmuiden', self._site.random),
+                Load,
             ),
             configuration,
         )
