--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -221,6 +221,12 @@
     retryable = True
 
 
+class MisdirectedError(TargetGoneError):
+    """Another target answered at the address of the one that was meant."""
+
+    code = 'misdirected'
+
+
 class OutOfServiceError(RefusedError):
     """The data centre or the target is taken out by an operator."""
 
--- a/lycheespar/routing/policy.py
+++ b/lycheespar/routing/policy.py
@@ -9,11 +9,13 @@
     ColdTargetError,
     DeadlineExceededError,
     InternalRequestError,
+    MisdirectedError,
     OutcomeUnknownError,
     OverloadedError,
     RefusedError,
     RequestError,
     StillRunningError,
+    TargetRefusedError,
 )
 
 # Attempts of one call, hedges included.
@@ -26,12 +28,15 @@
 _FINAL: Final = (
     DeadlineExceededError,
     InternalRequestError,
+    MisdirectedError,
     StillRunningError,
+    TargetRefusedError,
 )
 # Statuses after which an idempotent call may succeed at another target.
 FAILED_STATUSES: Final = frozenset((500, 502, 503, 504))
-# Costs of another attempt in tokens of the retry budget: after a run, after
-# a refusal for load, and after a refusal that says that the target is away.
+# Costs of another attempt in tokens of the retry budget: after one that reached
+# the target, after a node's refusal for load, and after one that says that the
+# target is away.
 RUN_COST: Final = 1
 LOAD_REFUSAL_COST: Final = 0.5
 AWAY_REFUSAL_COST: Final = 0.1
@@ -52,6 +57,8 @@
     if not may_resend(call):
         return None
     match error:
+        case TargetRefusedError() | MisdirectedError():
+            return RUN_COST
         case OverloadedError() | ColdTargetError():
             return LOAD_REFUSAL_COST
         case RefusedError() if error.retryable:
--- a/lycheespar/routing/progress.py
+++ b/lycheespar/routing/progress.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from lycheespar.call import Answer, Call
 from lycheespar.errors import (
+    MisdirectedError,
     NoTargetError,
     RefusedError,
     RequestError,
@@ -20,6 +23,9 @@
     worse,
 )
 
+# Refusals of the target itself, not of its node.
+_REACHED_TARGET: Final = (TargetRefusedError, MisdirectedError)
+
 
 class Progress:
     """Attempts of one call so far.
@@ -74,7 +80,7 @@
         if cost is None:
             return False
         refused = isinstance(error, RefusedError)
-        if refused and not isinstance(error, TargetRefusedError):
+        if refused and not isinstance(error, _REACHED_TARGET):
             return self._pay_refusal(cost)
         return self.pay(cost)
 
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -213,11 +213,22 @@
 
 
 class _CleanProtocol(ResponseHandler):
-    """Connection that is not used again once stray bytes came on it.
+    """Connection that tells a reset from the end of an answer.
 
-    Bytes behind a complete answer would be read as the next one.
+    It is not used again once stray bytes came on it: behind a complete answer
+    they would be read as the next one.
     """
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an answer without a length that a reset has cut.
+
+        The base class takes any end of the connection for its end.
+        """
+        body = self._payload
+        if exc is not None and body is not None and not body.is_eof():
+            body.set_exception(aiohttp.ClientPayloadError(str(exc)))
+        super().connection_lost(exc)
+
     def is_connected(self) -> bool:
         """Whether the connection is open and nothing unread is on it."""
         return super().is_connected() and not self.should_close
--- a/lycheespar/targets/shedding.py
+++ b/lycheespar/targets/shedding.py
@@ -6,9 +6,9 @@
 
 from lycheespar.call import Answer, Call
 from lycheespar.errors import (
+    MisdirectedError,
     OutcomeUnknownError,
     RequestError,
-    TargetGoneError,
     TargetRefusedError,
     TargetShedError,
 )
@@ -38,7 +38,7 @@
     headers = {name.lower(): text for name, text in answer.headers}
     retry_after_s = _seconds(headers.get(RETRY_AFTER, ''))
     if answer.status == MISDIRECTED:
-        return TargetGoneError('another target is at its address')
+        return MisdirectedError('another target is at its address')
     said = headers.get(profile.not_run.lower(), '0')
     if said != '0' and answer.status in _REFUSALS:
         return TargetRefusedError('the target sheds load', retry_after_s)
--- /dev/null
+++ b/lycheespar/tests/configuration/routes_tests.py
@@ -0,0 +1,97 @@
+"""Plans of routes: what is valid, and what a change makes of one."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec.structs import replace
+
+from lycheespar.configuration.changes import apply
+from lycheespar.configuration.model import Configuration, resolve
+from lycheespar.configuration.route_table import RouteTable
+from lycheespar.configuration.routes import (
+    Destination,
+    HostRoute,
+    PatchRoutePlan,
+    PutRoutePlan,
+    RoutePlan,
+    ServiceProfile,
+)
+from lycheespar.errors import ChangeInvalidError
+
+ROUTE = HostRoute(
+    'records',
+    'a.example',
+    '/records/',
+    destinations=(Destination('records'),),
+)
+SERVICE = ServiceProfile('records', '/load', 240, 3, 35)
+
+
+def plan(label=1, *routes):
+    """Build a plan with one service."""
+    listed = routes or (ROUTE,)
+    return RoutePlan(
+        label,
+        {route.name: route for route in listed},
+        {SERVICE.name: SERVICE},
+    )
+
+
+def test_a_plan_replaces_the_one_before():
+    first = apply(Configuration(), PutRoutePlan(plan(5), 0))
+    second = apply(first, PutRoutePlan(plan(9), 5))
+    assert (second.revision, second.plan.label) == (2, 9)
+
+
+def test_a_patch_adds_replaces_and_removes_items():
+    first = apply(Configuration(), PutRoutePlan(plan(5), 0))
+    added = replace(ROUTE, name='more', path_prefix='/more/')
+    slower = replace(ROUTE, deadline_ms=900)
+    second = apply(first, PatchRoutePlan(6, 5, (slower, added)))
+    third = apply(second, PatchRoutePlan(8, 6, removed_routes=('more',)))
+    assert list(second.plan.routes) == ['records', 'more']
+    assert third.plan.routes == {'records': slower}
+
+
+@pytest.mark.parametrize(
+    'route',
+    [
+        replace(ROUTE, host=''),
+        replace(ROUTE, deadline_ms=600_001),
+        replace(ROUTE, objective_ms=ROUTE.deadline_ms + 60_000),
+        replace(ROUTE, destinations=(Destination('unknown'),)),
+        replace(ROUTE, destinations=(Destination('records', -1),)),
+        replace(ROUTE, destinations=()),
+    ],
+)
+def test_a_bad_route_makes_a_plan_invalid(route):
+    with pytest.raises(ChangeInvalidError):
+        apply(Configuration(), PutRoutePlan(plan(1, route), 0))
+
+
+def test_a_label_must_grow():
+    first = apply(Configuration(), PutRoutePlan(plan(5), 0))
+    with pytest.raises(ChangeInvalidError):
+        apply(first, PutRoutePlan(plan(5), 5))
+
+
+def test_a_service_that_a_route_needs_is_not_removed():
+    first = apply(Configuration(), PutRoutePlan(plan(5), 0))
+    with pytest.raises(ChangeInvalidError):
+        apply(first, PatchRoutePlan(6, 5, removed_services=('records',)))
+
+
+def test_services_of_a_plan_are_resolved():
+    first = apply(Configuration(), PutRoutePlan(plan(5), 0))
+    service = resolve(first)['records']
+    assert service.load_path == '/load'
+    assert service.parameters.cold_per_s == 35
+
+
+def test_the_longest_prefix_selects_the_route():
+    inner = replace(ROUTE, name='inner', path_prefix='/records/old/')
+    table = RouteTable((ROUTE, inner))
+    assert table.find('A.example:80', '/records/new/1').name == 'records'
+    assert table.find('a.example', '/records/old/1?x=/').name == 'inner'
+    assert table.find('a.example', '/records') is None
+    assert table.find('b.example', '/records/1') is None
--- /dev/null
+++ b/lycheespar/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/lycheespar/tests/platform/documents_tests.py
@@ -0,0 +1,147 @@
+"""The platform's configurations."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from lycheespar.configuration.changes import apply
+from lycheespar.configuration.model import Configuration
+from lycheespar.errors import ChangeInvalidError
+from lycheespar.platform.documents import patch_from, plan_body, put_from
+
+
+def route(name='r-1', **spec):
+    """Build a route as the platform writes it."""
+    return {
+        'resource_type': 'routes',
+        'metadata': {'name': name},
+        'spec': {
+            'host': 'a.example',
+            'path_prefix': f'/{name}/',
+            'route_type': 'idempotent',
+            'timeout': '1200ms',
+            'target_latency': '0.2s',
+            'priority': 2,
+            'service': 'records',
+            'max_attempts': 2,
+        }
+        | spec,
+    }
+
+
+def service(name='records', **spec):
+    """Build a service as the platform writes it."""
+    return {
+        'resource_type': 'services',
+        'metadata': {'name': name},
+        'spec': {
+            'health_check_path': '/health',
+            'max_connections': 240,
+            'protocol': 'h1',
+            'tls': False,
+            'cold_start': '3s',
+            'coldstart_per_s': 35.0,
+        }
+        | spec,
+    }
+
+
+LIMITS = {
+    'resource_type': 'limits',
+    'metadata': {},
+    'spec': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 67108864,
+        'header_timeout': '3000ms',
+        'idle_timeout': '15000ms',
+    },
+}
+
+
+def document(version='0000000c', base='00000000', *items):
+    """Build a complete configuration."""
+    listed = items or (route(), service(), LIMITS)
+    return {
+        'version': version,
+        'base_version': base,
+        'resources': list(listed),
+    }
+
+
+def _body(given):
+    return json.dumps(given).encode()
+
+
+def test_a_configuration_is_read_back_as_it_was_sent():
+    sent = document()
+    made = apply(Configuration(), put_from(_body(sent)))
+    read = json.loads(plan_body(made.plan))
+    assert read['version'] == '0000000c'
+    assert read['resources'] == sent['resources']
+
+
+def test_a_patched_configuration_is_read_back_item_by_item():
+    first = apply(Configuration(), put_from(_body(document())))
+    changed = route(timeout='900ms', something_new=[1])
+    patch = {
+        'version': '0000000e',
+        'base_version': '0000000c',
+        'upsert': {'resources': [changed, route('r-2')]},
+        'remove': {'routes': []},
+    }
+    second = apply(first, patch_from(_body(patch)))
+    read = json.loads(plan_body(second.plan))
+    assert read['version'] == '0000000e'
+    assert read['resources'] == [changed, route('r-2'), service(), LIMITS]
+
+
+def test_fields_get_their_meaning():
+    weighted = route(
+        weighted_clusters=[
+            {'service': 'records', 'weight': 90},
+            {'service': 'other', 'weight': 10},
+        ],
+        route_type='non_idempotent',
+    )
+    items = (weighted, service(), service('other'), LIMITS)
+    plan = put_from(_body(document('0000000c', '00000000', *items))).plan
+    found = plan.routes['r-1']
+    assert (found.deadline_ms, found.objective_ms) == (1200, 200)
+    assert not found.idempotent
+    assert [part.weight for part in found.destinations] == [90, 10]
+    assert plan.services['other'].cold_per_s == 35
+    assert plan.limits.idle_timeout_s == 15
+
+
+@pytest.mark.parametrize(
+    'item',
+    [
+        route(route_type='sometimes'),
+        route(timeout='soon'),
+        route(timeout=1200),
+        route(host=None),
+        route(priority='2'),
+        route(path_prefix='a/'),
+        service(max_connections='many'),
+        {'resource_type': 'unknown', 'metadata': {'name': 'x'}, 'spec': {}},
+        {'resource_type': 'routes', 'metadata': {'name': 'x'}},
+        'text',
+    ],
+)
+def test_an_item_that_cannot_be_read_makes_a_configuration_invalid(item):
+    with pytest.raises(ChangeInvalidError):
+        put_from(_body(document('0000000c', '00000000', item, service())))
+
+
+@pytest.mark.parametrize('cut', [1, 20, 200])
+def test_a_configuration_that_is_cut_short_is_invalid(cut):
+    with pytest.raises(ChangeInvalidError):
+        put_from(_body(document())[:-cut])
+
+
+@pytest.mark.parametrize('version', ['c', 12, None, '0000000g', '000000000c'])
+def test_a_version_that_cannot_be_read_is_invalid(version):
+    with pytest.raises(ChangeInvalidError):
+        put_from(_body(document(version)))
--- a/lycheespar/tests/routing/router_tests.py
+++ b/lycheespar/tests/routing/router_tests.py
@@ -8,13 +8,17 @@
 
 from lycheespar.errors import (
     DeadlineExceededError,
+    MisdirectedError,
     NoTargetError,
     Outcome,
     OutcomeUnknownError,
     OverloadedError,
+    RefusedError,
     RequestError,
     TargetLostError,
+    TargetRefusedError,
 )
+from lycheespar.routing.budget import BURST
 from lycheespar.tests.routing.fakes import FakeTargets, build_router, call
 
 
@@ -163,3 +167,13 @@
     await asyncio.gather(task, return_exceptions=True)
     await asyncio.sleep(0.01)
     assert targets.cancelled == started
+
+
+@pytest.mark.parametrize('error', [TargetRefusedError(), MisdirectedError()])
+async def test_a_refusal_that_reached_a_target_costs_as_much_as_a_run(error):
+    targets = FakeTargets(lambda *_: type(error)())
+    router = build_router(targets, retry_share=0)
+    for _ in range(40):
+        with pytest.raises(RefusedError):
+            await router.dispatch(call())
+    assert targets.runs.total() <= 40 + BURST
--- a/lycheespar/tests/targets/client_tests.py
+++ b/lycheespar/tests/targets/client_tests.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
@@ -95,6 +97,16 @@
         await client.close()
 
 
+async def _reset_midway(writer: asyncio.StreamWriter, _: bytes) -> None:
+    """Begin an answer without a length, then reset the connection."""
+    writer.write(b'HTTP/1.1 200 OK\r\n\r\n' + b'a' * LARGE)
+    await writer.drain()
+    sock = writer.get_extra_info('socket')
+    linger = struct.pack('ii', 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 async def _read(answer: Answer) -> bytes:
     if isinstance(answer.body, bytes):
         return answer.body
@@ -126,6 +138,18 @@
     await wait_until(lambda: not target.open)
 
 
+async def test_an_answer_without_a_length_that_is_reset_is_not_whole(connect):
+    _, client = await connect(_reset_midway)
+    with pytest.raises((TruncatedAnswerError, TargetLostError)):
+        await _read(await client.send(make_call(), Load()))
+
+
+async def test_an_answer_without_a_length_ends_with_its_connection(connect):
+    body = b'a' * LARGE
+    _, client = await connect(_answer('200 OK', body, close=True))
+    assert await _read(await client.send(make_call(), Load())) == body
+
+
 async def test_a_connection_with_a_whole_answer_is_used_again(connect):
     target, client = await connect(_answer('200 OK\r\nContent-Length: 0'))
     for _ in range(3):
--- /dev/null
+++ b/lycheespar/tests/targets/identity_tests.py
@@ -0,0 +1,89 @@
+"""Answers that belong to another request, and bytes that belong to none."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lycheespar.call import Load
+from lycheespar.errors import TargetLostError
+from lycheespar.profile import HeaderProfile
+from lycheespar.targets.announcement import Announcement
+from lycheespar.targets.client import TargetClient
+from lycheespar.tests.admission.calls import make_call
+from lycheespar.tests.targets.client_tests import ScriptedTarget
+from standins.cluster import wait_until
+
+PROFILE = HeaderProfile(
+    request_id='X-Caller-Ref',
+    expected_target='X-Expected-Target',
+    deadline='X-Left-Ms',
+)
+
+
+def _echo(head: bytes, *, other: str = '') -> bytes:
+    """Answer with the id of the request, or another one."""
+    lines = head.decode().split('\r\n')
+    pairs = dict(line.lower().split(': ', 1) for line in lines if ': ' in line)
+    identity = other or pairs['x-caller-ref']
+    return (
+        f'HTTP/1.1 200 OK\r\nX-Caller-Ref: {identity}\r\n'
+        'Content-Length: 2\r\n\r\nok'
+    ).encode()
+
+
+async def _connect(script):
+    target = ScriptedTarget(script)
+    await target.start()
+    announced = Announcement('one', 'a', 'b', target.address)
+    return target, TargetClient(announced, PROFILE)
+
+
+def _call(identity):
+    asked = make_call()
+    asked.headers = (('X-Caller-Ref', identity), ('X-Left-Ms', '99999'))
+    return asked
+
+
+async def test_an_answer_with_another_id_is_not_taken():
+    async def script(writer, head):
+        writer.write(_echo(head, other='b'))
+        await writer.drain()
+
+    target, client = await _connect(script)
+    with pytest.raises(TargetLostError):
+        await client.send(_call('a'), Load())
+    await wait_until(lambda: not target.open)
+    await client.close()
+
+
+async def test_a_connection_with_bytes_behind_an_answer_is_not_used_again():
+    async def script(writer, head):
+        writer.write(_echo(head))
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        writer.write(_echo(head))
+        await writer.drain()
+
+    target, client = await _connect(script)
+    for identity in ('a', 'b', 'c'):
+        answer = await client.send(_call(identity), Load())
+        assert dict(answer.headers)['X-Caller-Ref'] == identity
+        await asyncio.sleep(0.03)
+    assert len(target.heads) == 3
+    await client.close()
+
+
+async def test_the_target_is_told_for_whom_a_request_is_and_what_is_left():
+    async def script(writer, head):
+        writer.write(_echo(head))
+        await writer.drain()
+
+    target, client = await _connect(script)
+    await client.send(_call('a'), Load())
+    head = target.heads[0].decode().lower()
+    assert 'x-expected-target: one' in head
+    assert head.count('x-left-ms') == 1
+    assert 'x-left-ms: 99999' not in head
+    await client.close()
