A voter by an entry that is not known to be committed votes

Cause: a leader that was lost just after it committed a change of four voters left the newcomer, whose vote the others needed, without the word that it may vote: no leader was ever elected again.

--- a/lycheespar/control/replica.py
+++ b/lycheespar/control/replica.py
@@ -129,8 +129,15 @@
 
     @property
     def may_vote(self) -> bool:
-        """Whether this host's disk is a voter by a committed entry."""
-        return self.state.voters.get(self.name) == self.disk
+        """Whether this host's disk is among the voters, soon or now.
+
+        A change of the voters that is not known to be committed counts: if
+        its leader is lost just then, a majority may need this very vote. Who
+        counts it needs majorities of the voters before and after the change.
+        """
+        return any(
+            voters.get(self.name) == self.disk for voters in self.voter_sets
+        )
 
     def form(self, group: str, founders: Voters) -> None:
         """Write the first entry, the same at all founders."""
--- a/lycheespar/tests/control/groups.py
+++ b/lycheespar/tests/control/groups.py
@@ -120,6 +120,8 @@
         self.folder = folder / name
         self.network = network
         self.snapshot_every = snapshot_every
+        self.timing = TIMING
+        self.founding = True
         self.group: Group | None = None
         self.storage: Storage | None = None
 
@@ -144,8 +146,9 @@
             replica,
             MemoryPeers(self.network, self.name),
             self.others,
-            TIMING,
+            self.timing,
             random.Random(self.network.choose.random()),
+            founding=self.founding,
         )
         self.network.hosts[self.name] = self.group
         self.group.start()
--- /dev/null
+++ b/lycheespar/tests/control/joining_tests.py
@@ -0,0 +1,133 @@
+"""Groups whose hosts are not all named in the settings."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from msgspec.structs import replace
+
+from lycheespar.tests.control.groups import (
+    TIMING,
+    Host,
+    Hosts,
+    accept,
+    until,
+)
+
+REPLACING = replace(TIMING, replace_after_s=4 * TIMING.election_timeout_s)
+
+
+@pytest.fixture
+def hosts(tmp_path):
+    """Plan three hosts that replace silent voters."""
+    planned = Hosts(tmp_path)
+    for host in planned.all:
+        host.timing = REPLACING
+    yield planned
+    planned.stop()
+
+
+def newcomer(hosts: Hosts, name: str, seeds: list[str]) -> Host:
+    """Plan an empty host that knows some others, and that none knows."""
+    first = hosts.all[0]
+    host = Host(
+        name,
+        [*seeds, name],
+        first.folder.parent,
+        hosts.network,
+        first.snapshot_every,
+    )
+    host.timing = REPLACING
+    host.founding = False
+    return host
+
+
+def voters(hosts: Hosts) -> set[str]:
+    """Return the names of the voters that the leader knows."""
+    leader = hosts.leader
+    return set(leader.group.state.voters) if leader else set()
+
+
+async def test_an_empty_host_takes_the_place_of_one_that_is_gone(hosts):
+    hosts.start()
+    await hosts.whole()
+    await accept(hosts, 'first')
+    gone = hosts.all.pop(0)
+    gone.crash()
+    fresh = newcomer(hosts, 'control-9', ['control-1', 'control-2'])
+    hosts.all.append(fresh)
+    fresh.start()
+    expected = {'control-1', 'control-2', 'control-9'}
+    await until(lambda: voters(hosts) == expected)
+    await hosts.whole()
+    assert fresh.group.state.revision == 1
+
+
+async def test_all_hosts_may_be_replaced_one_after_the_other(hosts):
+    hosts.start()
+    await hosts.whole()
+    for number in range(4):
+        await accept(hosts, f'change-{number}')
+        hosts.all.pop(0).crash()
+        seeds = [host.name for host in hosts.all]
+        fresh = newcomer(hosts, f'new-{number}', seeds)
+        hosts.all.append(fresh)
+        fresh.start()
+        names = {host.name for host in hosts.all}
+        await until(lambda names=names: voters(hosts) == names)
+        await hosts.whole()
+    assert hosts.all[0].group.state.revision == 4
+
+
+async def test_a_host_may_join_before_another_one_goes(hosts):
+    hosts.start()
+    await hosts.whole()
+    fresh = newcomer(hosts, 'control-9', ['control-0'])
+    hosts.all.append(fresh)
+    fresh.start()
+    await until(lambda: len(voters(hosts)) == 4)
+    hosts.all.pop(0).crash()
+    names = {'control-1', 'control-2', 'control-9'}
+    await until(lambda: voters(hosts) == names)
+    await accept(hosts, 'after')
+
+
+async def test_of_few_voters_none_is_removed_for_its_silence(hosts):
+    hosts.start()
+    await hosts.whole()
+    silent = hosts.all[0]
+    silent.crash()
+    await accept(hosts, 'meanwhile')
+    await asyncio.sleep(2 * REPLACING.replace_after_s)
+    assert len(voters(hosts)) == 3
+    silent.start()
+    await hosts.whole()
+
+
+async def test_hosts_that_may_not_found_a_group_never_form_one(hosts):
+    for host in hosts.all:
+        host.founding = False
+    hosts.start()
+    await asyncio.sleep(4 * TIMING.election_timeout_s)
+    assert not any(host.group.state.group for host in hosts.all)
+
+
+async def test_a_replaced_host_that_returns_forms_no_second_group(hosts):
+    hosts.start()
+    await hosts.whole()
+    gone = hosts.all.pop(0)
+    gone.crash()
+    fresh = newcomer(hosts, 'control-9', ['control-1'])
+    hosts.all.append(fresh)
+    fresh.start()
+    await until(lambda: 'control-9' in voters(hosts))
+    await until(lambda: gone.name not in voters(hosts))
+    await accept(hosts, 'without-it')
+    gone.start()
+    hosts.all.append(gone)
+    await until(lambda: len(voters(hosts)) == 4)
+    await hosts.whole()
+    groups = {host.group.state.group for host in hosts.all}
+    assert len(groups) == 1
+    assert gone.group.state.revision == 1
