--- /dev/null
+++ b/lycheespar/tests/ingress/routes_tests.py
@@ -0,0 +1,108 @@
+"""Requests that a plan of routes takes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from aiohttp.test_utils import make_mocked_request
+from msgspec.structs import replace
+
+from lycheespar.configuration.model import Configuration
+from lycheespar.configuration.routes import (
+    CallerLimits,
+    Destination,
+    HostRoute,
+    RoutePlan,
+    ServiceProfile,
+)
+from lycheespar.configuration.stamp import Stamp
+from lycheespar.configuration.view import ConfigurationView
+from lycheespar.errors import (
+    NoTargetError,
+    StaleConfigurationError,
+    UnknownServiceError,
+)
+from lycheespar.ingress.classify import Classifier
+from lycheespar.profile import HeaderProfile
+
+PROFILE = HeaderProfile(deadline='X-Left-Ms', caller_service='X-Caller')
+ROUTE = HostRoute(
+    'records',
+    'a.example',
+    '/records/',
+    idempotent=True,
+    deadline_ms=800,
+    objective_ms=200,
+    priority=1,
+    destinations=(Destination('records'),),
+    max_attempts=2,
+)
+
+
+def _view(*routes: HostRoute) -> ConfigurationView:
+    plan = RoutePlan(
+        7,
+        {route.name: route for route in routes},
+        {'records': ServiceProfile('records')},
+        CallerLimits(max_body_bytes=100),
+    )
+    return ConfigurationView(Configuration(1, plan=plan))
+
+
+async def _classify(view, path='/records/1?x=%2F', host='a.example', **headers):
+    request = make_mocked_request('GET', path, {'Host': host} | headers)
+    classifier = Classifier(view, 1000, PROFILE, 'desk')
+    return await classifier.classify(request)
+
+
+async def test_a_route_says_how_its_requests_are_handled():
+    call = await _classify(_view(ROUTE))
+    assert call.service == 'records'
+    assert call.path == '/records/1?x=%2F'
+    assert call.request_class == 'records'
+    assert call.max_attempts == 2
+    assert call.idempotent
+
+
+async def test_the_callers_service_is_told_whatever_the_caller_says():
+    call = await _classify(_view(ROUTE), **{'x-caller': 'forged'})
+    told = [text for name, text in call.headers if name.lower() == 'x-caller']
+    assert told == ['desk']
+
+
+@pytest.mark.parametrize(
+    ('given', 'expected_ms'), [('300', 300), ('5000', 800)]
+)
+async def test_the_shorter_time_counts(given, expected_ms):
+    call = await _classify(_view(ROUTE), **{'X-Left-Ms': given})
+    left_ms = (call.deadline - asyncio.get_running_loop().time()) * 1000
+    assert expected_ms - 100 < left_ms <= expected_ms
+
+
+async def test_without_any_configuration_the_request_may_come_back():
+    with pytest.raises(StaleConfigurationError):
+        await _classify(ConfigurationView(Configuration()))
+
+
+async def test_a_path_without_a_route_is_unknown():
+    with pytest.raises(UnknownServiceError):
+        await _classify(_view(ROUTE), '/other/1')
+
+
+async def test_a_host_without_a_dot_is_unknown():
+    with pytest.raises(UnknownServiceError):
+        await _classify(_view(ROUTE), host='localhost')
+
+
+async def test_an_unknown_route_may_be_new_while_the_node_is_behind():
+    view = _view(ROUTE)
+    view.confirm(Stamp(1, 2, 1, 0))
+    with pytest.raises(StaleConfigurationError):
+        await _classify(view, '/other/1')
+
+
+async def test_a_route_without_weight_has_no_target():
+    route = replace(ROUTE, destinations=(Destination('records', 0),))
+    with pytest.raises(NoTargetError):
+        await _classify(_view(route))
