--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -125,12 +125,16 @@
         wait_s = max(self._expected_wait_s(turns, now), rate_wait_s)
         wait_s *= self._mix.delay(call.weight)
         self._check_deadline(call, now, wait_s)
-        if wait_s > self._limits.queue_s:
+        usual_s = self._limiter.usual_s(call.request_class, now)
+        longest_s = min(
+            self._limits.queue_s, worth_waiting_s(call, now, usual_s)
+        )
+        if wait_s > longest_s:
             raise self._overloaded()
         self._make_room(call)
         waiting = self._queue.push(call)
         self.rate.wake_after(rate_wait_s)
-        await self._wait(waiting, now)
+        await self._wait(waiting, now + longest_s)
 
     def leave(self, held_s: float) -> None:
         """Give a place back that a call held for so many seconds."""
@@ -155,8 +159,7 @@
         self._queue.remove(lightest)
         lightest.refuse(self._overloaded())
 
-    async def _wait(self, waiting: Waiting, now: float) -> None:
-        ends_at = min(waiting.call.deadline, now + self._limits.queue_s)
+    async def _wait(self, waiting: Waiting, ends_at: float) -> None:
         loop = asyncio.get_running_loop()
         waiting.timer = loop.call_at(ends_at, self._expire, waiting)
         try:
@@ -226,5 +229,26 @@
         return max(SHORTEST_RETRY_S, self._expected_wait_s(backlog, now))
 
 
+def worth_waiting_s(call: Call, now: float, usual_s: float) -> float:
+    """Return how long a call may wait and still be answered in time.
+
+    A wait past that ends in a late answer, while another target, or the
+    caller's next try, may still be in time. Once the objective has passed, the
+    deadline counts.
+
+    Parameters
+    ----------
+    call : Call
+        The call.
+    now : float
+        Instant of the event loop's clock, in seconds.
+    usual_s : float
+        Latency that such calls have lately, in seconds.
+    """
+    if not call.objective_at:
+        return call.deadline - now
+    return call.useful_until(now) - now - usual_s
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/lycheespar/admission/limiter.py
+++ b/lycheespar/admission/limiter.py
@@ -87,6 +87,10 @@
         """Return a latency below which few calls of a class stay."""
         return self._latencies.of_class(request_class).least_s(now)
 
+    def usual_s(self, request_class: str, now: float) -> float:
+        """Return the latency that calls of a class have lately."""
+        return self._latencies.of_class(request_class).expected_s(now)
+
     def configure(self, limits: GateLimits) -> None:
         """Change the bounds."""
         self._slots = limits.slots
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -70,6 +70,9 @@
         W3C trace context, empty for requests that are not traced.
     max_attempts : int
         Targets to which the request may be sent; 0 for the usual number.
+    objective_at : float
+        Instant of the event loop's clock, in seconds, until which an answer
+        is of full use; 0 where it is of use until the deadline.
     hedge_after_s : float
         Time in seconds without an answer after which an idempotent request is
         run elsewhere too; 0 for what the service says.
@@ -91,9 +94,17 @@
     fingerprint: bytes = b''
     traceparent: str = ''
     max_attempts: int = 0
+    objective_at: float = 0
     hedge_after_s: float = 0
     started: bool = False
 
+    def useful_until(self, now: float) -> float:
+        """Return the instant until which an answer is worth waiting for.
+
+        Once the objective has passed, that is the deadline.
+        """
+        return self.objective_at if self.objective_at > now else self.deadline
+
 
 class Answer(msgspec.Struct, gc=False):
     """The answer of a target.
--- a/lycheespar/ingress/classify.py
+++ b/lycheespar/ingress/classify.py
@@ -139,6 +139,7 @@
         service = self._split.choose(route)
         if not service:
             raise NoTargetError(f"route '{route.name}' has no weight")
+        arrived_at = asyncio.get_running_loop().time()
         deadline = self._deadline(request, route.deadline_ms)
         body = await self._body(request)
         depth = call_depth(request.headers)
@@ -156,6 +157,7 @@
             fingerprint=_fingerprint(request, service, body),
             traceparent=request.headers.get(TRACEPARENT, ''),
             max_attempts=route.max_attempts,
+            objective_at=arrived_at + route.objective_ms / MS_PER_S,
             hedge_after_s=route.objective_ms * HEDGE_SHARE / MS_PER_S,
         )
 
--- a/lycheespar/protocol/messages.py
+++ b/lycheespar/protocol/messages.py
@@ -58,6 +58,8 @@
     attach_only : bool
         Whether the receiver acknowledged this call before; it never starts
         such a call, only attaches to its execution.
+    objective_ms : float
+        Time left until the call's objective, in milliseconds; 0 for none.
 
     The other attributes are those of `lycheespar.call.Call`.
     """
@@ -78,6 +80,7 @@
     streamed: bool
     echo_ms: int = 0
     attach_only: bool = False
+    objective_ms: float = 0
 
 
 class Accepted(_Message, frozen=True, tag=3):
--- a/lycheespar/protocol/peer.py
+++ b/lycheespar/protocol/peer.py
@@ -200,6 +200,8 @@
         return aiter(receiver)
 
     def _call(self, request: Request) -> Call:
+        now = self._loop.time()
+        objective_s = request.objective_ms / MS_PER_S
         return Call(
             call_id=request.call_id,
             service=request.service,
@@ -214,8 +216,9 @@
             request_class=request.request_class,
             weight=request.weight,
             idempotent=request.idempotent,
-            deadline=self._loop.time() + request.budget_ms / MS_PER_S,
+            deadline=now + request.budget_ms / MS_PER_S,
             idempotency_key=request.idempotency_key,
             fingerprint=request.fingerprint,
             traceparent=request.traceparent,
+            objective_at=now + objective_s if objective_s else 0,
         )
--- a/lycheespar/protocol/pending.py
+++ b/lycheespar/protocol/pending.py
@@ -225,4 +225,9 @@
         streamed=body is not inline,
         echo_ms=clock_ms,
         attach_only=attach_only,
+        objective_ms=(
+            (call.objective_at - loop.time()) * MS_PER_S
+            if call.objective_at
+            else 0
+        ),
     )
--- a/lycheespar/tests/admission/gate_tests.py
+++ b/lycheespar/tests/admission/gate_tests.py
@@ -10,6 +10,7 @@
 
 from lycheespar.admission.gate import Gate
 from lycheespar.admission.limiter import GateLimits, Limiter
+from lycheespar.call import Call
 from lycheespar.errors import (
     ColdTargetError,
     DeadlineUnreachableError,
@@ -206,3 +207,58 @@
     assert lighter.done()
     assert isinstance(lighter.exception(), OverloadedError)
     waiting.cancel()
+
+
+def _with_objective(objective_s: float) -> Call:
+    call = make_call()
+    now = asyncio.get_running_loop().time()
+    call.objective_at = now + objective_s
+    return call
+
+
+async def test_a_call_that_would_be_late_is_refused_at_once():
+    gate = _gate(1, 10)
+    await gate.enter(make_call())
+    gate.leave(1)
+    await gate.enter(make_call())
+    waits = asyncio.create_task(gate.enter(make_call()))
+    await _settle()
+    assert not waits.done()
+    with pytest.raises(OverloadedError):
+        await gate.enter(_with_objective(0.2))
+    waits.cancel()
+
+
+async def test_a_call_that_is_late_anyway_waits_until_its_deadline():
+    gate = _gate(1, 10)
+    await gate.enter(make_call())
+    gate.leave(1)
+    await gate.enter(make_call())
+    waits = asyncio.create_task(gate.enter(_with_objective(-1)))
+    await _settle()
+    assert not waits.done()
+    gate.leave(1)
+    await waits
+
+
+async def test_a_call_that_can_be_in_time_waits():
+    gate = _gate(1, 10)
+    await gate.enter(make_call())
+    gate.leave(0.01)
+    await gate.enter(make_call())
+    waits = asyncio.create_task(gate.enter(_with_objective(0.5)))
+    await _settle()
+    assert not waits.done()
+    gate.leave(0.01)
+    await waits
+
+
+async def test_a_cold_target_admits_waiting_calls_at_its_rate():
+    gate = _gate(9, 20, cold_per_s=2)
+    now = asyncio.get_running_loop().time()
+    gate.rate.set_cold(now + 60)
+    tasks = [asyncio.create_task(gate.enter(make_call())) for _ in range(4)]
+    await _settle()
+    assert gate.running == 2
+    await asyncio.gather(*tasks)
+    assert asyncio.get_running_loop().time() - now >= 1
