--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -30,6 +30,7 @@
 from lycheespar.targets.client import TargetClient
 from lycheespar.targets.load import LoadReport
 from lycheespar.targets.shedding import refusal_of
+from lycheespar.telemetry.events import TargetChanged, TargetSilent, events
 
 # Time after the start of a drain in which calls are still taken whose body
 # streams: other nodes that do not know of the drain can't send them again.
@@ -269,10 +270,11 @@
         known = self._announced
         self._announced = announcement
         if announcement is None:
+            events.write(TargetSilent('' if known is None else known.target))
             self._replace_client(None)
             self._gate.refuse_waiting(TargetGoneError)
             return
-        log.info("Target '{}' is {}.", announcement.target, announcement.phase)
+        _report(announcement, known)
         if known is None or known.start != announcement.start:
             self._replace_client(self._connect(announcement))
             self._limiter.restart(_now())
@@ -329,5 +331,22 @@
             task.add_done_callback(self._closing.discard)
 
 
+def _report(announcement: Announcement, known: Announcement | None) -> None:
+    """Log a target that is new or in another phase."""
+    if known is not None:
+        same = (known.start, known.phase)
+        if same == (announcement.start, announcement.phase):
+            return
+    events.write(
+        TargetChanged(
+            announcement.target,
+            announcement.service_name,
+            announcement.phase,
+            announcement.slots,
+            announcement.cold_s,
+        ),
+    )
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -68,6 +68,8 @@
         Digest that is equal for requests that are alike.
     traceparent : str
         W3C trace context, empty for requests that are not traced.
+    request_id : str
+        Id of the request for logs, the same in all its attempts.
     max_attempts : int
         Targets to which the request may be sent; 0 for the usual number.
     objective_at : float
@@ -93,6 +95,7 @@
     idempotency_key: str = ''
     fingerprint: bytes = b''
     traceparent: str = ''
+    request_id: str = ''
     max_attempts: int = 0
     objective_at: float = 0
     hedge_after_s: float = 0
--- a/lycheespar/commands/serve.py
+++ b/lycheespar/commands/serve.py
@@ -35,7 +35,11 @@
     settings: NodeSettings | ControlSettings, run: Run
 ) -> None:
     """Run a process until a signal stops it."""
-    configure_logs(settings.log_level, as_json=settings.log_json)
+    configure_logs(
+        settings.log_level,
+        as_json=settings.log_json,
+        process=settings.name,
+    )
     uvloop.run(_until_signal(run))
 
 
--- a/lycheespar/control/follower.py
+++ b/lycheespar/control/follower.py
@@ -25,6 +25,7 @@
 )
 from lycheespar.control.saved import SavedConfiguration
 from lycheespar.errors import ChangeInvalidError
+from lycheespar.telemetry.events import ConfigurationTaken, events
 
 # Bounds of the time for which a control host may hold a pull, in seconds.
 MIN_WAIT_S: Final = 1
@@ -227,7 +228,13 @@
             log.error('An accepted change is invalid here: {}.', error)
             return False
         if self._view.replace(configuration):
-            log.info('Revision {} is in force.', configuration.revision)
+            events.write(
+                ConfigurationTaken(
+                    configuration.revision,
+                    configuration.plan.label,
+                    tuple(sorted(configuration.data_centres_out)),
+                ),
+            )
         return True
 
     async def _save_changes(self) -> None:
--- a/lycheespar/ingress/classify.py
+++ b/lycheespar/ingress/classify.py
@@ -30,6 +30,7 @@
 # Methods that are idempotent by definition (RFC 9110, section 9.2.2) and safe.
 SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS'))
 _CALL_ID_BYTES: Final = 16
+_REQUEST_ID_BYTES: Final = 8
 # Part of its objective that a request waits before it is hedged: a second run
 # of usual length still fits in the rest.
 HEDGE_SHARE: Final = 0.5
@@ -106,9 +107,27 @@
         self._own_service = own_service
         self._split = WeightedSplit()
 
-    async def classify(self, request: web.BaseRequest) -> Call:
+    @property
+    def configuration(self) -> ConfigurationView:
+        """Configuration by which requests are classified."""
+        return self._configuration
+
+    def request_id(self, request: web.BaseRequest) -> str:
+        """Return the caller's id of a request, or a new one."""
+        name = self._profile.request_id
+        given = request.headers.get(name, '') if name else ''
+        return given or random.randbytes(_REQUEST_ID_BYTES).hex()
+
+    async def classify(self, request: web.BaseRequest, request_id: str) -> Call:
         """Build the call that a request asks for.
 
+        Parameters
+        ----------
+        request : web.BaseRequest
+            The request.
+        request_id : str
+            Its id for logs.
+
         Raises
         ------
         UnknownServiceError
@@ -126,9 +145,12 @@
         """
         host = request.headers.get(hdrs.HOST, '')
         route = self._configuration.routes.find(host, request.raw_path)
-        if route is not None:
-            return await self._by_route(request, route)
-        return await self._by_service(request, host)
+        if route is None:
+            call = await self._by_service(request, host)
+        else:
+            call = await self._by_route(request, route)
+        call.request_id = request_id
+        return call
 
     async def _by_route(
         self,
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -19,6 +19,7 @@
 from lycheespar.ingress.listener import open_listener, refuse_new
 from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.streams import close_stream
+from lycheespar.telemetry.events import AnswerCut, Refused, events
 
 KEEPALIVE_S: Final = 75
 POLL_S: Final = 0.02
@@ -134,27 +135,41 @@
         return response
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = self._classifier.request_id(request)
         try:
-            answer = await self._run(request)
+            answer = await self._run(request, request_id)
         except RequestError as error:
-            return self._problem(error)
+            return self._problem(request_id, error)
         except Exception as error:  # a bug must not cost the connection
             log.exception('A request failed.')
-            return self._problem(InternalRequestError(str(error)))
+            return self._problem(request_id, InternalRequestError(str(error)))
         try:
             return await respond(request, answer, closing=self._draining)
         except RequestError as error:
-            log.debug("An answer was cut: '{}'.", error.code)
+            events.write(AnswerCut(request_id, error.code))
             reset(request)
             raise ConnectionResetError from error
         finally:
             await close_stream(answer.body)
 
-    def _problem(self, error: RequestError) -> web.Response:
+    def _problem(self, request_id: str, error: RequestError) -> web.Response:
+        configuration = self._classifier.configuration
+        events.write(
+            Refused(
+                request_id,
+                error.code,
+                error.status,
+                error.outcome,
+                error.detail,
+                round(error.retry_after_s, 3),
+                configuration.current.revision,
+                round(configuration.age_s, 3),
+            ),
+        )
         return problem(error, whole_retry_s=self._profile.whole_retry_s)
 
-    async def _run(self, request: web.BaseRequest) -> Answer:
-        call = await self._classifier.classify(request)
+    async def _run(self, request: web.BaseRequest, request_id: str) -> Answer:
+        call = await self._classifier.classify(request, request_id)
         try:
             return await self._dispatch.dispatch(call)
         except RequestError as error:
--- a/lycheespar/membership/tracker.py
+++ b/lycheespar/membership/tracker.py
@@ -6,7 +6,6 @@
 import itertools
 from typing import Final
 
-from loguru import logger
 from msgspec.structs import replace
 
 from lycheespar.membership.endpoint import HostPort
@@ -14,12 +13,11 @@
 from lycheespar.membership.records import Liveness, MemberRecord, Verdict
 from lycheespar.membership.suspicion import Suspicions
 from lycheespar.membership.view import MembershipView
+from lycheespar.telemetry.events import MemberChanged, events
 
 # Time for which the record of a dead member is kept, in seconds.
 DEAD_RETENTION_S: Final = 60
 
-log = logger.bind(part='membership')
-
 
 class MemberTracker:
     """Keeps the table of members, the suspicions and the news in step.
@@ -55,6 +53,7 @@
         if not self._members.merge(record):
             return False
         self._follow(record)
+        _report(record, known)
         verdict = record.verdict
         same = known is not None and known.verdict.content == verdict.content
         self._news.add(verdict if same else record)
@@ -62,11 +61,13 @@
 
     def judge(self, verdict: Verdict) -> None:
         """Take a verdict, and pass it on if it is new."""
+        known = self._members.get(verdict.node)
         if not self._members.judge(verdict):
             return
         record = self._members.get(verdict.node)
         if record is not None:
             self._follow(record)
+            _report(record, known)
             self._news.add(verdict)
 
     def expire(self, now: float) -> None:
@@ -105,7 +106,6 @@
         record = self._members.get(node)
         if record is None or record.liveness is not Liveness.suspect:
             return
-        log.info("Node '{}' is dead.", node)
         self.take(replace(record, liveness=Liveness.dead))
         # Each member comes to this by its own deadline.
         self._news.discard(node)
@@ -123,3 +123,21 @@
             self._dead_at[record.node] = now
         else:
             self._dead_at.pop(record.node, None)
+
+
+def _report(record: MemberRecord, known: MemberRecord | None) -> None:
+    """Log a member that is held for something else than before."""
+    if known is not None and (known.liveness, known.phase) == (
+        record.liveness,
+        record.phase,
+    ):
+        return
+    events.write(
+        MemberChanged(
+            record.node,
+            record.liveness.name,
+            record.phase.name,
+            record.incarnation,
+            record.version,
+        ),
+    )
--- a/lycheespar/platform/operators.py
+++ b/lycheespar/platform/operators.py
@@ -7,7 +7,6 @@
 from typing import Final
 
 from aiohttp import web
-from loguru import logger
 
 from lycheespar.config.options import Address
 from lycheespar.configuration.changes import (
@@ -25,14 +24,13 @@
     RequestInvalidError,
 )
 from lycheespar.platform.documents import patch_from, plan_body, put_from
+from lycheespar.telemetry.events import OrderEnded, events
 
 CALL_PATH: Final = '/api/rpc'
 # Largest body of an order in bytes: some ten thousand routes.
 MAX_ORDER_BYTES: Final = 32 * 1024 * 1024
 OPERATOR: Final = 'platform'
 
-log = logger.bind(part='platform')
-
 
 class OperatorServer:
     """Takes the operator's calls.
@@ -67,7 +65,7 @@
             return await self._answer(request, call)
         except ControlError as error:
             status = _status_of(error)
-            log.info("Call '{}' ends with {}: {}.", call, status, error.detail)
+            events.write(OrderEnded(call, status, error.detail, 0))
             return _reply(status, error.detail)
 
     async def _answer(
@@ -92,7 +90,7 @@
             change,
         )
         revision = await self._group.submit(command)
-        log.info("Call '{}' made revision {}.", call, revision)
+        events.write(OrderEnded(call, 200, '', revision))
         return _reply(200)
 
 
--- a/lycheespar/platform/settings.py
+++ b/lycheespar/platform/settings.py
@@ -139,6 +139,7 @@
     return NodeSettings.parse(
         {
             'name': platform.node,
+            'log_json': True,
             'data_centre': platform.data_centre,
             'http': str(platform.ports['outbound']),
             'ready': str(platform.ports['ready_addr']),
@@ -177,6 +178,7 @@
     return ControlSettings.parse(
         {
             'name': str(address),
+            'log_json': True,
             'data_centre': platform.data_centre,
             'http': str(platform.ports['control_plane']),
             'address': str(address),
--- a/lycheespar/protocol/messages.py
+++ b/lycheespar/protocol/messages.py
@@ -81,6 +81,7 @@
     echo_ms: int = 0
     attach_only: bool = False
     objective_ms: float = 0
+    request_id: str = ''
 
 
 class Accepted(_Message, frozen=True, tag=3):
--- a/lycheespar/protocol/peer.py
+++ b/lycheespar/protocol/peer.py
@@ -220,5 +220,6 @@
             idempotency_key=request.idempotency_key,
             fingerprint=request.fingerprint,
             traceparent=request.traceparent,
+            request_id=request.request_id,
             objective_at=now + objective_s if objective_s else 0,
         )
--- a/lycheespar/protocol/pending.py
+++ b/lycheespar/protocol/pending.py
@@ -230,4 +230,5 @@
             if call.objective_at
             else 0
         ),
+        request_id=call.request_id,
     )
--- a/lycheespar/routing/router.py
+++ b/lycheespar/routing/router.py
@@ -3,21 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from typing import Final
 
 from msgspec.structs import replace
 
-from lycheespar.call import Answer, Call
+from lycheespar.call import Answer, Call, Load
 from lycheespar.configuration.model import Parameters
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import RequestError
 from lycheespar.routing.attempts import Attempts
 from lycheespar.routing.budget import RetryBudgets
 from lycheespar.routing.hedge import first_answer
-from lycheespar.routing.policy import RUN_COST
+from lycheespar.routing.policy import FAILED_STATUSES, RUN_COST
 from lycheespar.routing.progress import Progress
 from lycheespar.routing.table import TargetState
+from lycheespar.telemetry.events import AttemptFailed, Hedged, events
 
 MS_PER_S: Final = 1000
 _CALL_ID_BYTES: Final = 16
@@ -96,6 +98,9 @@
         )
         if state is None or first.done() or not progress.pay(RUN_COST):
             return await first_answer(first)
+        events.write(
+            Hedged(call.request_id, state.record.node, after_s * MS_PER_S),
+        )
         second = asyncio.create_task(
             self._run(_attempt(call), progress, state),
         )
@@ -114,17 +119,55 @@
                 state = await self._attempts.choose(call, progress.tried)
             if state is None:
                 break
-            try:
-                answer = await self._attempts.run(call, state)
-            except RequestError as error:
-                again = progress.take_error(error)
-            else:
-                again = progress.take_answer(answer)
+            again = await self._try(call, state, progress)
             if again:
                 call = _attempt(call)
                 state = None
         return progress.result()
 
+    async def _try(
+        self,
+        call: Call,
+        state: TargetState,
+        progress: Progress,
+    ) -> bool:
+        """Make one attempt; say whether another one is to follow."""
+        known = state.load, state.load_age_s
+        try:
+            answer = await self._attempts.run(call, state)
+        except RequestError as error:
+            again = progress.take_error(error)
+            _report(call, state, known, error.code, again=again)
+            return again
+        again = progress.take_answer(answer)
+        if answer.status in FAILED_STATUSES:
+            _report(call, state, known, str(answer.status), again=again)
+        return again
+
+
+def _report(
+    call: Call,
+    state: TargetState,
+    known: tuple[Load, float],
+    code: str,
+    *,
+    again: bool,
+) -> None:
+    """Log an attempt that failed, with what decided on its target."""
+    load, age_s = known
+    events.write(
+        AttemptFailed(
+            call.request_id,
+            state.record.node,
+            code,
+            load.running,
+            load.queued,
+            load.limit,
+            round(age_s * MS_PER_S, 1) if math.isfinite(age_s) else -1,
+            again,
+        ),
+    )
+
 
 def _may_hedge(call: Call) -> bool:
     return call.idempotent and isinstance(call.body, bytes)
--- a/lycheespar/routing/table.py
+++ b/lycheespar/routing/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Final
 
 from lycheespar.call import Load
@@ -186,6 +187,11 @@
         waits = load.queued or load.running >= load.limit * FREE_SHARE
         return not waits and load.pace < SLOW_PACE
 
+    @property
+    def load_age_s(self) -> float:
+        """Age of the newest report in seconds; infinite without one."""
+        return asyncio.get_running_loop().time() - self.load_at
+
     def miss(self, now: float) -> None:
         """Note that the node did not tell its load when it was asked."""
         self._missed_at = now
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -25,6 +25,7 @@
 from lycheespar.targets.announcement import Announcement
 from lycheespar.targets.body import RequestBody, ResponseBody
 from lycheespar.targets.headers import end_to_end, for_target, header
+from lycheespar.telemetry.events import AnswerRejected, events
 
 CONNECT_TIMEOUT_S: Final = 1
 # Shorter than the idle time after which common servers close connections, so
@@ -145,6 +146,9 @@
         except aiohttp.ClientConnectorError as error:
             raise TargetGoneError(str(error)) from error
         except aiohttp.ClientPayloadError as error:
+            events.write(
+                AnswerRejected(call.request_id, self._target, str(error)),
+            )
             raise TruncatedAnswerError(str(error)) from error
         except (aiohttp.ClientError, OSError, TargetLostError) as error:
             if streamed is not None and streamed.error is not None:
@@ -203,7 +207,11 @@
         asked = header(call.headers, name) if name else ''
         if asked and response.headers.get(name) != asked:
             response.close()
-            raise TargetLostError('the answer names another request')
+            reason = 'the answer names another request'
+            events.write(
+                AnswerRejected(call.request_id, self._target, reason),
+            )
+            raise TargetLostError(reason)
 
     def _end(self) -> None:
         self._under_way -= 1
