--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,4 @@
 reference: $(STAMP)
 	$(BIN)/python -m tools.settings_page
 	$(BIN)/python -m tools.codes_page
+	$(BIN)/python -m tools.events_page
--- a/lycheespar/__main__.py
+++ b/lycheespar/__main__.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import sys
 from pathlib import Path
-from typing import Any, Final
+from typing import Any, Final, TextIO
 
 import click
 import msgspec
@@ -15,6 +16,8 @@
 from lycheespar.protocol.version import PROTOCOL_VERSION
 
 _SETTINGS_HELP: Final = 'SETTINGS is a file of JSON with comments.'
+_EXPLAIN_EXAMPLE: Final = 'Example: lycheespar explain 9c41d07b node-*.log'
+_NOTHING_FOUND: Final = 1
 _HOSTED_HELP: Final = 'The environment names the settings file.'
 
 
@@ -105,6 +108,31 @@
     sys.exit(SettingsError.exit_code if refused else 0)
 
 
+@cli.command(epilog=_EXPLAIN_EXAMPLE)
+@click.argument('request')
+@click.argument('files', nargs=-1, type=click.File('r', errors='replace'))
+@click.option('--json', 'as_json', is_flag=True, help=_JSON_HELP)
+def explain(
+    request: str,
+    files: tuple[TextIO, ...],
+    *,
+    as_json: bool,
+) -> None:
+    """Show what happened to one request, from logs or standard input."""
+    from lycheespar.commands import explain as explaining  # noqa: PLC0415
+
+    sources = files or (sys.stdin,)
+    steps = explaining.explain(request, itertools.chain.from_iterable(sources))
+    if as_json:
+        click.echo(msgspec.json.encode(steps))
+        return
+    for step in steps:
+        click.echo(explaining.describe(step))
+    if not steps:
+        click.echo(f"no line names the request '{request}'", err=True)
+        sys.exit(_NOTHING_FOUND)
+
+
 @cli.command()
 @click.option('--json', 'as_json', is_flag=True, help=_JSON_HELP)
 def version(*, as_json: bool) -> None:
--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -12,7 +12,6 @@
 
 import zmq.asyncio
 from loguru import logger
-from msgspec.structs import replace
 
 from lycheespar.admission.crash_guard import CrashGuard
 from lycheespar.admission.duplicates import DuplicateCheck
@@ -37,7 +36,8 @@
 from lycheespar.membership.broadcast import BroadcastTable
 from lycheespar.membership.endpoint import HostPort
 from lycheespar.membership.gossip import Gossip
-from lycheespar.membership.records import Liveness, MemberRecord, Phase
+from lycheespar.membership.presence import own_record, with_target
+from lycheespar.membership.records import MemberRecord
 from lycheespar.membership.view import MembershipView
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
@@ -49,7 +49,7 @@
 from lycheespar.routing.suspects import Designation, SuspectDispatch
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.probes import Prober
-from lycheespar.telemetry.gauges import node_gauges
+from lycheespar.telemetry.gauges import control_gauges, node_gauges
 from lycheespar.telemetry.parts import Telemetry
 
 if TYPE_CHECKING:
@@ -94,7 +94,7 @@
         self._members = MembershipView()
         self._broadcasts = BroadcastTable()
         self._gossip = Gossip(
-            _own_record(settings, incarnation),
+            own_record(settings, incarnation),
             _host_ports(settings.seeds),
             self._members,
             self._configuration,
@@ -131,6 +131,7 @@
                 self._build_dispatch(execution, incarnation),
             ),
             profile,
+            log_answers=settings.log_answers,
         )
         self._channels = ChannelServer(
             DuplicateCheck(execution),
@@ -238,7 +239,7 @@
     async def _start(self) -> None:
         """Join the other nodes, then open the port for callers."""
         settings = self._settings
-        self._telemetry.start()
+        await self._telemetry.start()
         await self._gossip.start()
         await self._channels.start(settings.inner.host, settings.inner.port)
         await self._announcements.start(settings.announce)
@@ -269,12 +270,12 @@
         if self._readiness is not None:
             await self._readiness.stop()
         await self._gossip.stop()
-        self._telemetry.stop()
+        await self._telemetry.stop()
 
     def _publish(self, announcement: Announcement | None) -> None:
         """Tell the other nodes about the local target."""
         own = self._gossip.own
-        self._gossip.update(_with_target(own, announcement))
+        self._gossip.update(with_target(own, announcement))
 
 
 class ControlApp:
@@ -308,13 +309,18 @@
         host = ControlHost(settings, context)
         api = (self._api or OperatorApi)(host)
         gossip = self._join(host)
+        served = self._serve_metrics(host)
         await host.start()
         if gossip is not None:
             await gossip.start()
+        if served is not None:
+            await served.start(settings.metrics)
         await api.start(settings.http)
         log.info("Control host '{}' serves.", settings.name)
         await stopped.wait()
         await api.stop()
+        if served is not None:
+            await served.stop()
         if gossip is not None:
             await gossip.stop()
         host.stop()
@@ -325,6 +331,19 @@
         if self._gossip is not None:
             self._gossip.seeds = _host_ports(seeds)
 
+    def _serve_metrics(self, host: ControlHost) -> Port | None:
+        """Return the server of the metrics, if the settings ask for it."""
+        if self._settings.metrics is None:
+            return None
+        from lycheespar.telemetry.exposition import (  # noqa: PLC0415
+            MetricsServer,
+        )
+        from lycheespar.telemetry.metrics import Metrics  # noqa: PLC0415
+
+        metrics = Metrics(self._settings.statsd, self._settings.name)
+        metrics.add_gauges(partial(control_gauges, host.group))
+        return MetricsServer(metrics)
+
     def _join(self, host: ControlHost) -> Gossip | None:
         """Become a member among the nodes, if the settings say so.
 
@@ -336,7 +355,7 @@
         if settings.gossip is None:
             return None
         members = MembershipView()
-        members.changes.subscribe(partial(_meet_control_host, host))
+        members.changes.subscribe(host.meet)
         record = MemberRecord(
             settings.name,
             time.time_ns(),
@@ -357,55 +376,5 @@
         return self._gossip
 
 
-def _meet_control_host(host: ControlHost, record: MemberRecord) -> None:
-    """Tell a control host of another one that was met by gossip."""
-    if record.control_port and record.liveness is Liveness.alive:
-        host.group.roster.meet((f'{record.host}:{record.control_port}',))
-
-
 def _host_ports(seeds: tuple[Address, ...]) -> tuple[HostPort, ...]:
     return tuple((seed.host, seed.port) for seed in seeds)
-
-
-def _own_record(settings: NodeSettings, incarnation: int) -> MemberRecord:
-    advertised = settings.advertise_inner or settings.inner
-    return MemberRecord(
-        settings.name,
-        incarnation,
-        0,
-        advertised.host,
-        advertised.port,
-        settings.gossip.port,
-        settings.data_centre,
-    )
-
-
-def _with_target(
-    record: MemberRecord,
-    announcement: Announcement | None,
-) -> MemberRecord:
-    if announcement is None:
-        return _retarget(record, '', '', Phase.absent, 0)
-    return _retarget(
-        record,
-        announcement.service_name,
-        announcement.target,
-        announcement.state,
-        announcement.slots,
-    )
-
-
-def _retarget(
-    record: MemberRecord,
-    service: str,
-    target: str,
-    phase: Phase,
-    slots: int,
-) -> MemberRecord:
-    return replace(
-        record,
-        service=service,
-        target=target,
-        phase=phase,
-        slots=slots,
-    )
--- a/lycheespar/config/settings.py
+++ b/lycheespar/config/settings.py
@@ -29,7 +29,11 @@
     log_level = Choice('Least severe log level.', _LOG_LEVELS, 'INFO')
     log_json = Flag('Whether log lines are JSON.', default=False)
     statsd: Option[Any] = IpAddress(
-        'Address of the statsd server; metrics are off without it.',
+        'Address of the statsd server; none is sent to without it.',
+        None,
+    )
+    metrics: Option[Any] = IpAddress(
+        'Address at which metrics are served as text; none without it.',
         None,
     )
 
@@ -79,6 +83,10 @@
         'File to which spans are written as JSON lines.',
         None,
     )
+    log_answers = Flag(
+        'Whether requests that a target answered are logged too.',
+        default=False,
+    )
     max_body_bytes = Integer(
         'Largest request body in bytes.',
         1024 * 1024 * 1024,
--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -9,6 +9,7 @@
 import zmq.asyncio
 from loguru import logger
 
+from lycheespar.config.options import Address
 from lycheespar.config.settings import ControlSettings
 from lycheespar.configuration.stamp import MS_PER_S
 from lycheespar.control.claims import ClaimHost
@@ -34,6 +35,7 @@
 from lycheespar.control.replica import Replica
 from lycheespar.control.storage import Storage
 from lycheespar.errors import ControlError, NotCurrentError
+from lycheespar.membership.records import Liveness, MemberRecord
 
 log = logger.bind(part='control')
 
@@ -125,6 +127,12 @@
         limit_s = 2 * self._timing.election_timeout_s
         return stamp.round > 0 and stamp.age_ms < limit_s * MS_PER_S
 
+    def meet(self, record: MemberRecord) -> None:
+        """Take the address of another control host, found by gossip."""
+        if record.control_port and record.liveness is Liveness.alive:
+            address = Address(record.host, record.control_port)
+            self.group.roster.meet((str(address),))
+
     async def progress(self, revision: int) -> ProgressReport:
         """Report how far a revision is in force, from all control hosts."""
         nodes = list(self._progress.nodes)
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -19,7 +19,7 @@
 from lycheespar.ingress.listener import open_listener, refuse_new
 from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.streams import close_stream
-from lycheespar.telemetry.events import AnswerCut, Refused, events
+from lycheespar.telemetry.events import AnswerCut, Answered, Refused, events
 
 KEEPALIVE_S: Final = 75
 POLL_S: Final = 0.02
@@ -42,6 +42,8 @@
         Runs the calls.
     profile : HeaderProfile
         Names of the headers.
+    log_answers : bool
+        Whether answers of targets are logged too.
     """
 
     __slots__ = (
@@ -49,6 +51,7 @@
         '_dispatch',
         '_draining',
         '_listener',
+        '_log_answers',
         '_profile',
         '_runner',
         '_server',
@@ -60,11 +63,14 @@
         classifier: Classifier,
         dispatch: Dispatch,
         profile: HeaderProfile = DEFAULT_PROFILE,
+        *,
+        log_answers: bool = False,
     ) -> None:
         """Keep the parts; `start` opens the port."""
         self._classifier = classifier
         self._dispatch = dispatch
         self._profile = profile
+        self._log_answers = log_answers
         self._draining = False
         self._under_way = 0
         self._listener: socket.socket | None = None
@@ -171,9 +177,20 @@
     async def _run(self, request: web.BaseRequest, request_id: str) -> Answer:
         call = await self._classifier.classify(request, request_id)
         try:
-            return await self._dispatch.dispatch(call)
+            answer = await self._dispatch.dispatch(call)
         except RequestError as error:
             body = call.body
             if isinstance(body, CallerBody) and body.error is not None:
                 raise body.error from error
             raise
+        if self._log_answers:
+            events.write(
+                Answered(
+                    request_id,
+                    call.request_class,
+                    call.service,
+                    answer.status,
+                    self._classifier.configuration.current.revision,
+                ),
+            )
+        return answer
--- /dev/null
+++ b/lycheespar/membership/presence.py
@@ -0,0 +1,59 @@
+"""The own record of a node among the members."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from msgspec.structs import replace
+
+from lycheespar.membership.records import MemberRecord, Phase
+
+if TYPE_CHECKING:
+    from lycheespar.config.settings import NodeSettings
+    from lycheespar.targets.announcement import Announcement
+
+
+def own_record(settings: NodeSettings, incarnation: int) -> MemberRecord:
+    """Return the record of a node that has no target yet."""
+    advertised = settings.advertise_inner or settings.inner
+    return MemberRecord(
+        settings.name,
+        incarnation,
+        0,
+        advertised.host,
+        advertised.port,
+        settings.gossip.port,
+        settings.data_centre,
+    )
+
+
+def with_target(
+    record: MemberRecord,
+    announcement: Announcement | None,
+) -> MemberRecord:
+    """Return the record with the target that announced itself, or none."""
+    if announcement is None:
+        return _retarget(record, '', '', Phase.absent, 0)
+    return _retarget(
+        record,
+        announcement.service_name,
+        announcement.target,
+        announcement.state,
+        announcement.slots,
+    )
+
+
+def _retarget(
+    record: MemberRecord,
+    service: str,
+    target: str,
+    phase: Phase,
+    slots: int,
+) -> MemberRecord:
+    return replace(
+        record,
+        service=service,
+        target=target,
+        phase=phase,
+        slots=slots,
+    )
--- a/lycheespar/platform/settings.py
+++ b/lycheespar/platform/settings.py
@@ -20,6 +20,8 @@
 from lycheespar.platform.durations import parse_s
 
 PATH_VARIABLE: Final = 'LYCHEESPAR_SETTINGS'
+# Port at which each process serves its metrics, as the deploy file says.
+METRICS_PORT: Final = 9464
 # Ports for other processes of the system, as offsets in the range for them.
 CHANNEL_OFFSET: Final = 0
 GOSSIP_OFFSET: Final = 1
@@ -139,7 +141,9 @@
     return NodeSettings.parse(
         {
             'name': platform.node,
+            'metrics': str(Address(platform.host, METRICS_PORT)),
             'log_json': True,
+            'log_answers': True,
             'data_centre': platform.data_centre,
             'http': str(platform.ports['outbound']),
             'ready': str(platform.ports['ready_addr']),
@@ -178,6 +182,7 @@
     return ControlSettings.parse(
         {
             'name': str(address),
+            'metrics': str(Address(platform.host, METRICS_PORT)),
             'log_json': True,
             'data_centre': platform.data_centre,
             'http': str(platform.ports['control_plane']),
--- a/lycheespar/telemetry/events.py
+++ b/lycheespar/telemetry/events.py
@@ -40,29 +40,6 @@
     request: str
 
 
-class Admitted(RequestEvent, frozen=True, tag='admitted'):
-    """A request was taken from its caller and is to be sent to a service.
-
-    Attributes
-    ----------
-    route : str
-        Route or class that it was matched to.
-    service : str
-        Service that the route led to.
-    revision : int
-        Revision of the configuration that decided it.
-    age_s : float
-        Age in seconds of the last proof that the revision was current.
-    """
-
-    part: ClassVar[str] = 'ingress'
-
-    route: str
-    service: str
-    revision: int
-    age_s: float
-
-
 class Refused(RequestEvent, frozen=True, tag='refused'):
     """A request ended without an answer of its target.
 
@@ -96,20 +73,26 @@
 
 
 class Answered(RequestEvent, frozen=True, tag='answered'):
-    """A request was answered by its target.
+    """A request was answered by a target.
 
     Attributes
     ----------
+    route : str
+        Route or class that it was matched to.
+    service : str
+        Service that the route led to.
     status : int
         HTTP status.
-    took_ms : float
-        Time from its arrival to the head of its answer, in milliseconds.
+    revision : int
+        Revision of the configuration in force here.
     """
 
     part: ClassVar[str] = 'ingress'
 
+    route: str
+    service: str
     status: int
-    took_ms: float
+    revision: int
 
 
 class AnswerCut(RequestEvent, frozen=True, tag='answer_cut'):
--- a/lycheespar/telemetry/gauges.py
+++ b/lycheespar/telemetry/gauges.py
@@ -3,16 +3,36 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from lycheespar.admission.executor import Executor
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.membership.records import Liveness
 from lycheespar.membership.view import MembershipView
 from lycheespar.targets.probes import Prober
+from lycheespar.telemetry.events import events
+
+if TYPE_CHECKING:
+    from lycheespar.control.group import Group
 
 # Age in seconds that is reported for a configuration never confirmed.
 LONGEST_AGE_S: Final = 86_400
+MS_PER_S: Final = 1000
+
+
+def control_gauges(group: Group) -> dict[str, float]:
+    """Return the gauges of a control host by name."""
+    stamp = group.stamp
+    age_s = stamp.age_ms / MS_PER_S if stamp.round else LONGEST_AGE_S
+    return {
+        'configuration.revision': group.state.revision,
+        'configuration.label': group.state.configuration.plan.label,
+        'configuration.age_s': min(age_s, LONGEST_AGE_S),
+        'control.term': group.term,
+        'control.leading': group.leading,
+        'control.voters': len(group.state.voters),
+        'log.dropped': events.dropped,
+    }
 
 
 def node_gauges(
@@ -36,6 +56,8 @@
         'probe.sent': prober.counts.probes,
         'probe.failed': prober.counts.failures,
         'probe.spent_ms': prober.counts.cost_ms,
+        'log.dropped': events.dropped,
         'configuration.revision': configuration.current.revision,
+        'configuration.label': configuration.current.plan.label,
         'configuration.age_s': min(configuration.age_s, LONGEST_AGE_S),
     }
--- a/lycheespar/telemetry/observed.py
+++ b/lycheespar/telemetry/observed.py
@@ -7,7 +7,7 @@
 
 from lycheespar.call import Answer, Call, Dispatch, Execution
 from lycheespar.errors import RequestError
-from lycheespar.telemetry.metrics import Metrics, metric_name
+from lycheespar.telemetry.metrics import Metrics
 
 MS_PER_S: Final = 1000
 
@@ -42,10 +42,10 @@
             outcome = error.code
             raise
         finally:
-            name = metric_name('call', call.service, call.request_class)
+            name = ('call', call.service, call.request_class)
             elapsed_ms = (loop.time() - started_at) * MS_PER_S
-            self._metrics.increment(f'{name}.{outcome}')
-            self._metrics.observe(f'{name}.latency', elapsed_ms)
+            self._metrics.increment(*name, outcome)
+            self._metrics.observe(*name, 'latency', latency_ms=elapsed_ms)
         return answer
 
 
@@ -77,5 +77,5 @@
             outcome = error.code
             raise
         finally:
-            self._metrics.increment(f'target.{outcome}')
+            self._metrics.increment('target', outcome)
         return answer
--- a/lycheespar/telemetry/parts.py
+++ b/lycheespar/telemetry/parts.py
@@ -18,6 +18,8 @@
 from lycheespar.targets.client import TargetClient
 
 if TYPE_CHECKING:
+    from lycheespar.config.options import Address
+    from lycheespar.telemetry.exposition import MetricsServer
     from lycheespar.telemetry.metrics import Gauges, Metrics
     from lycheespar.telemetry.traces import Tracer
 
@@ -33,7 +35,7 @@
         Names of the headers.
     """
 
-    __slots__ = ('_metrics', '_profile', '_tracer')
+    __slots__ = ('_address', '_metrics', '_profile', '_server', '_tracer')
 
     def __init__(
         self,
@@ -42,6 +44,8 @@
     ) -> None:
         """Build what is on."""
         self._profile = profile
+        self._address: Address | None = settings.metrics
+        self._server: MetricsServer | None = None
         self._metrics = _metrics(settings)
         self._tracer = _tracer(settings)
 
@@ -104,13 +108,23 @@
         if self._metrics is not None:
             self._metrics.add_gauges(source)
 
-    def start(self) -> None:
-        """Begin to send metrics."""
-        if self._metrics is not None:
-            self._metrics.start()
+    async def start(self) -> None:
+        """Begin to send and to serve metrics."""
+        if self._metrics is None:
+            return
+        self._metrics.start()
+        if self._address is not None:
+            from lycheespar.telemetry.exposition import (  # noqa: PLC0415
+                MetricsServer,
+            )
+
+            self._server = MetricsServer(self._metrics)
+            await self._server.start(self._address)
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
         """Send the last metrics and write the last spans."""
+        if self._server is not None:
+            await self._server.stop()
         if self._metrics is not None:
             self._metrics.stop()
         if self._tracer is not None:
@@ -118,7 +132,7 @@
 
 
 def _metrics(settings: NodeSettings) -> Metrics | None:
-    if settings.statsd is None:
+    if settings.statsd is None and settings.metrics is None:
         return None
     from lycheespar.telemetry.metrics import Metrics  # noqa: PLC0415
 
--- a/lycheespar/tests/config/page_tests.py
+++ b/lycheespar/tests/config/page_tests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tools import codes_page, settings_page
+from tools import codes_page, events_page, settings_page
 
 
 def test_the_page_of_the_settings_is_what_the_schema_says():
@@ -12,3 +12,7 @@
 
 def test_the_page_of_the_codes_is_what_the_classes_say():
     assert codes_page.PAGE.read_text('utf-8') == codes_page.codes_page()
+
+
+def test_the_page_of_the_events_is_what_the_classes_say():
+    assert events_page.PAGE.read_text('utf-8') == events_page.events_page()
--- /dev/null
+++ b/lycheespar/tests/telemetry/events_tests.py
@@ -0,0 +1,69 @@
+"""Bounds of the logged events."""
+
+from __future__ import annotations
+
+import json
+import os
+
+from loguru import logger
+
+from lycheespar.telemetry.events import (
+    BURST_LINES,
+    AnswerCut,
+    ConfigurationTaken,
+    EventLog,
+)
+from lycheespar.telemetry.logs import LineWriter
+
+
+def _written(*events):
+    """Write events to a pipe and return its lines."""
+    source, sink = os.pipe()
+    handler = logger.add(LineWriter(sink, 'node-1', as_json=True), format='')
+    log = EventLog()
+    for event in events:
+        log.write(event)
+    logger.remove(handler)
+    os.close(sink)
+    with os.fdopen(source) as lines:
+        return log, [json.loads(line) for line in lines]
+
+
+def test_an_event_is_one_line_with_its_fields():
+    _, (line,) = _written(AnswerCut('ab', 'truncated_answer'))
+    assert line.pop('at')
+    assert line == {
+        'level': 'INFO',
+        'process': 'node-1',
+        'part': 'ingress',
+        'event': 'answer_cut',
+        'request': 'ab',
+        'code': 'truncated_answer',
+    }
+
+
+def test_events_on_requests_are_bounded_and_counted():
+    many = [AnswerCut(str(number), 'x') for number in range(3 * BURST_LINES)]
+    log, lines = _written(*many)
+    assert len(lines) < 2 * BURST_LINES
+    assert log.dropped == len(many) - len(lines)
+
+
+def test_events_on_beliefs_are_never_left_out():
+    many = [ConfigurationTaken(number, 1, ()) for number in range(200)]
+    log, lines = _written(*many)
+    assert len(lines) == 200
+    assert not log.dropped
+
+
+def test_a_pipe_that_nobody_reads_drops_lines_and_blocks_nothing():
+    source, sink = os.pipe()
+    writer = LineWriter(sink, 'node-1', as_json=True)
+    handler = logger.add(writer, format='')
+    log = EventLog()
+    for number in range(2000):
+        log.write(ConfigurationTaken(number, 1, ('a' * 100,)))
+    logger.remove(handler)
+    os.close(sink)
+    os.close(source)
+    assert writer.dropped
--- a/lycheespar/tests/telemetry/metrics_tests.py
+++ b/lycheespar/tests/telemetry/metrics_tests.py
@@ -4,11 +4,13 @@
 
 import socket
 
+import aiohttp
 import pytest
 
 from lycheespar.call import Answer, Call, Load
 from lycheespar.config.options import Address
 from lycheespar.errors import OverloadedError
+from lycheespar.telemetry.exposition import MetricsServer
 from lycheespar.telemetry.metrics import Metrics, metric_name
 from lycheespar.telemetry.observed import ObservedDispatch
 from lycheespar.tests.telemetry.calls import new_call
@@ -46,7 +48,7 @@
 
 
 def test_a_batch_carries_counters_and_gauges(server, metrics):
-    metrics.increment('calls', 3)
+    metrics.increment('calls', amount=3)
     metrics.add_gauges(lambda: {'queue': 7})
     metrics.flush()
     lines = server.recv(4096).decode().splitlines()
@@ -78,3 +80,36 @@
     name = 'lycheespar.node-1.call.team_desk.look-up'
     assert f'{name}.status_200:1|c' in lines
     assert f'{name}.overloaded:1|c' in lines
+
+
+async def test_metrics_are_served_as_text():
+    metrics = Metrics(None, 'node-1')
+    metrics.increment('call', 'desk', 'look-up', 'status_200', amount=3)
+    metrics.increment('target', 'overloaded')
+    metrics.observe('call', 'desk', 'look-up', 'latency', latency_ms=30)
+    metrics.observe('call', 'desk', 'look-up', 'latency', latency_ms=7000)
+    metrics.add_gauges(lambda: {'target.running': 7})
+    server = MetricsServer(metrics)
+    await server.start(Address('127.0.0.1', 0))
+    port = server._runner.addresses[0][1]
+    url = f'http://127.0.0.1:{port}/metrics'
+    async with aiohttp.ClientSession() as session, session.get(url) as answer:
+        lines = (await answer.text()).splitlines()
+    await server.stop()
+    (called,) = [line for line in lines if 'outcome="status_200"' in line]
+    assert called.startswith('lycheespar_call_total{')
+    assert called.endswith('} 3.0')
+    assert 'lycheespar_target_total{outcome="overloaded"} 1.0' in lines
+    assert 'lycheespar_target_running 7.0' in lines
+    bucket = 'lycheespar_call_latency_ms_bucket'
+    assert any(
+        line.startswith(bucket) and 'le="50"' in line and line.endswith(' 1.0')
+        for line in lines
+    )
+
+
+def test_without_a_server_nothing_is_gathered_for_it():
+    metrics = Metrics(None, 'node-1')
+    metrics.increment('calls')
+    metrics.flush()
+    assert metrics.totals[('calls',)] == 1
--- a/lycheespar/tests/telemetry/parts_tests.py
+++ b/lycheespar/tests/telemetry/parts_tests.py
@@ -24,13 +24,13 @@
     assert telemetry.around_execution(part) is part
 
 
-def test_what_is_on_is_put_around(tmp_path):
+async def test_what_is_on_is_put_around(tmp_path):
     given = {'statsd': '127.0.0.1:9', 'trace_file': str(tmp_path / 'spans')}
     telemetry = Telemetry(NodeSettings.parse(NODE | given))
     part = object()
     assert telemetry.around_dispatch(part) is not part
     assert telemetry.around_execution(part) is not part
-    telemetry.stop()
+    await telemetry.stop()
 
 
 def test_libraries_of_what_is_off_are_not_imported():
