--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -20,6 +20,8 @@
 
 MS_PER_S: Final = 1000
 SHORTEST_RETRY_S: Final = 0.05
+# Part of the rest of its time for which a late call may wait.
+LATE_WAIT_SHARE: Final = 0.25
 
 
 class Gate:
@@ -126,8 +128,10 @@
         wait_s *= self._mix.delay(call.weight)
         self._check_deadline(call, now, wait_s)
         usual_s = self._limiter.usual_s(call.request_class, now)
-        longest_s = min(
-            self._limits.queue_s, worth_waiting_s(call, now, usual_s)
+        longest_s = (
+            call.deadline - now - usual_s
+            if self._mix.has_lighter(call.weight)
+            else min(self._limits.queue_s, worth_waiting_s(call, now, usual_s))
         )
         if wait_s > longest_s:
             raise self._overloaded()
@@ -233,8 +237,8 @@
     """Return how long a call may wait and still be answered in time.
 
     A wait past that ends in a late answer, while another target, or the
-    caller's next try, may still be in time. Once the objective has passed, the
-    deadline counts.
+    caller's next try, may still be in time. A call that is late anyway waits
+    for a part of its time only, so that it is refused early, not at the end.
 
     Parameters
     ----------
@@ -247,7 +251,10 @@
     """
     if not call.objective_at:
         return call.deadline - now
-    return call.useful_until(now) - now - usual_s
+    in_time_s = call.objective_at - now - usual_s
+    if in_time_s > 0:
+        return in_time_s
+    return (call.deadline - now - usual_s) * LATE_WAIT_SHARE
 
 
 def _now() -> float:
--- a/lycheespar/admission/mix.py
+++ b/lycheespar/admission/mix.py
@@ -7,6 +7,8 @@
 SAMPLE_WEIGHT: Final = 0.02
 # Largest share of heavier calls that the estimate of a wait allows for.
 LARGEST_SHARE: Final = 0.95
+# Share of lighter calls from which on a heavier one may count on its turn.
+LEAST_LIGHTER_SHARE: Final = 0.05
 
 
 class AdmissionMix:
@@ -28,6 +30,13 @@
         known_share = self._shares.get(weight, 0)
         self._shares[weight] = known_share + SAMPLE_WEIGHT
 
+    def has_lighter(self, weight: float) -> bool:
+        """Whether lighter calls are admitted, which give way to others."""
+        lighter = sum(
+            share for known, share in self._shares.items() if known < weight
+        )
+        return lighter >= LEAST_LIGHTER_SHARE
+
     def delay(self, weight: float) -> float:
         """Return by which factor heavier calls lengthen a wait, at least 1."""
         heavier = sum(
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -101,13 +101,6 @@
     hedge_after_s: float = 0
     started: bool = False
 
-    def useful_until(self, now: float) -> float:
-        """Return the instant until which an answer is worth waiting for.
-
-        Once the objective has passed, that is the deadline.
-        """
-        return self.objective_at if self.objective_at > now else self.deadline
-
 
 class Answer(msgspec.Struct, gc=False):
     """The answer of a target.
--- a/lycheespar/ingress/classify.py
+++ b/lycheespar/ingress/classify.py
@@ -161,7 +161,6 @@
         service = self._split.choose(route)
         if not service:
             raise NoTargetError(f"route '{route.name}' has no weight")
-        arrived_at = asyncio.get_running_loop().time()
         deadline = self._deadline(request, route.deadline_ms)
         body = await self._body(request)
         depth = call_depth(request.headers)
@@ -179,7 +178,7 @@
             fingerprint=_fingerprint(request, service, body),
             traceparent=request.headers.get(TRACEPARENT, ''),
             max_attempts=route.max_attempts,
-            objective_at=arrived_at + route.objective_ms / MS_PER_S,
+            objective_at=deadline - _margin_s(route),
             hedge_after_s=route.objective_ms * HEDGE_SHARE / MS_PER_S,
         )
 
@@ -297,6 +296,15 @@
     return route.request_class or DEFAULT_CLASS
 
 
+def _margin_s(route: HostRoute) -> float:
+    """Return the time from the objective of a request to its deadline.
+
+    A caller that waits for less than the route's time has likely spent the
+    rest on an earlier try, which counts against the objective.
+    """
+    return max(route.deadline_ms - route.objective_ms, 0) / MS_PER_S
+
+
 def _fingerprint(request: web.BaseRequest, name: str, body: Body) -> bytes:
     digest = xxhash.xxh3_128()
     digest.update(f'{name} {request.method} {request.raw_path} '.encode())
--- a/lycheespar/ingress/connection.py
+++ b/lycheespar/ingress/connection.py
@@ -33,6 +33,17 @@
         super().connection_made(transport)
         tune_socket(transport.get_extra_info('socket'))
 
+    def close(self) -> None:
+        """Take no further request; close at once where none is under way.
+
+        The base class would ignore what still comes on a connection that does
+        not wait for a request yet, and leave it open.
+        """
+        super().close()
+        idle = self._current_request is None and not self._messages
+        if idle and self.transport is not None:
+            self.transport.close()
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -125,9 +125,12 @@
         self._server.pre_shutdown()
         while self._under_way:
             await asyncio.sleep(POLL_S)
+            # Connections may have been accepted meanwhile.
+            self._server.pre_shutdown()
 
     async def stop(self) -> None:
         """Close the port and all connections."""
+        self._server.pre_shutdown()
         await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/lycheespar/tests/ingress/server_tests.py
+++ b/lycheespar/tests/ingress/server_tests.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gzip
 import json
+import socket
 
 import pytest
 from hypothesis import HealthCheck, given, settings
@@ -329,3 +331,26 @@
         assert not ingress.dispatch.calls
 
     asyncio.run(attempt())
+
+
+async def test_a_connection_that_waits_for_nothing_yet_is_closed(ingress):
+    protocol = ingress.server._server()
+    closed = []
+
+    class _Transport(asyncio.Transport):
+        def close(self) -> None:
+            closed.append(True)
+
+    protocol.connection_made(_Transport({'socket': socket.socket()}))
+    protocol.close()
+    assert closed
+
+
+async def test_a_late_request_is_not_left_without_an_answer(ingress):
+    reader, writer = await ingress.connect()
+    await ingress.server.finish(0)
+    writer.write(b'GET / HTTP/1.1\r\nHost: a.b\r\n\r\n')
+    with contextlib.suppress(ConnectionResetError):
+        async with asyncio.timeout(5):
+            assert not await reader.read()
+    writer.close()
