--- a/lycheespar/__main__.py
+++ b/lycheespar/__main__.py
@@ -22,6 +22,7 @@
 
 
 _ROLE_HELP: Final = 'Command the settings are for; found by their keys.'
+_ROLES: Final = ('node', 'control', 'hosted-node', 'hosted-control')
 _STRICT_HELP: Final = 'Treat warnings as errors.'
 _JSON_HELP: Final = 'Print JSON.'
 _CHECK_EXIT_CODES: Final = 'Exits with 0 if the settings are valid, else 2.'
@@ -83,7 +84,7 @@
 
 @cli.command(epilog=_CHECK_EXIT_CODES)
 @click.argument('settings', type=click.Path(path_type=Path))
-@click.option('--role', type=click.Choice(['node', 'control']), help=_ROLE_HELP)
+@click.option('--role', type=click.Choice(_ROLES), help=_ROLE_HELP)
 @click.option('--strict', is_flag=True, help=_STRICT_HELP)
 @click.option('--json', 'as_json', is_flag=True, help=_JSON_HELP)
 def check(
--- a/lycheespar/commands/check.py
+++ b/lycheespar/commands/check.py
@@ -15,6 +15,9 @@
     'node': NodeSettings,
     'control': ControlSettings,
 }
+HOSTED_NODE: Final = 'hosted-node'
+# Commands whose settings the users' platform writes.
+HOSTED_ROLES: Final = (HOSTED_NODE, 'hosted-control')
 
 
 class CheckReport(msgspec.Struct, frozen=True):
@@ -45,6 +48,8 @@
     role : str | None
         Command that the settings are for; found by their keys if not given.
     """
+    if role in HOSTED_ROLES:
+        return _check_hosted(path, role)
     chosen = role or ''
     try:
         given = read_settings(path)
@@ -55,5 +60,20 @@
     return CheckReport(chosen, warnings=tuple(settings.warnings()))
 
 
+def _check_hosted(path: Path, role: str) -> CheckReport:
+    """Check a settings file of the users' platform."""
+    from lycheespar.platform import settings  # noqa: PLC0415
+
+    try:
+        given = settings.load_settings(path)
+        if role == HOSTED_NODE:
+            settings.node_settings(given)
+        else:
+            settings.control_settings(given)
+    except SettingsError as error:
+        return CheckReport(role, problems=error.problems)
+    return CheckReport(role)
+
+
 def _role_of(given: dict[str, object]) -> str:
     return 'control' if 'peers' in given else 'node'
--- a/lycheespar/commands/operators.py
+++ b/lycheespar/commands/operators.py
@@ -109,6 +109,7 @@
     click.echo(f'leader: {status.leader or "unknown"}')
     click.echo(f'voters: {", ".join(sorted(status.voters))}')
     click.echo(f'accepted revision: {status.accepted}')
+    click.echo(f'routes: {status.routes} in the plan {status.plan_label}')
     click.echo(f'data centres out: {_names(status.data_centres_out)}')
     click.echo(f'targets out: {_names(status.targets_out)}')
     click.echo(_progress(status))
--- a/lycheespar/control/status.py
+++ b/lycheespar/control/status.py
@@ -31,6 +31,10 @@
         Disk id of each control host that votes.
     accepted : int
         Newest revision that it knows to be accepted.
+    plan_label : int
+        Label of the plan of routes; 0 for none.
+    routes : int
+        Routes in the plan.
     data_centres_out, targets_out : tuple[str, ...]
         What is taken out.
     revision : int
@@ -48,6 +52,8 @@
     stamp_age_ms: float | None
     voters: Voters
     accepted: int
+    plan_label: int
+    routes: int
     data_centres_out: tuple[str, ...]
     targets_out: tuple[str, ...]
     revision: int
@@ -69,6 +75,8 @@
         stamp_age_ms=stamp.age_ms if stamp.round else None,
         voters=group.state.voters,
         accepted=configuration.revision,
+        plan_label=configuration.plan.label,
+        routes=len(configuration.plan.routes),
         data_centres_out=tuple(sorted(configuration.data_centres_out)),
         targets_out=tuple(sorted(configuration.targets_out)),
         revision=revision,
--- a/lycheespar/platform/settings.py
+++ b/lycheespar/platform/settings.py
@@ -32,10 +32,10 @@
 SPREAD_SHARE: Final = 0.55
 # Part of that time at which the stop ends, answered or not.
 STOP_SHARE: Final = 0.92
-# Times of the control group in seconds: a new leader within two timeouts, so
-# that changes go on well before an operator's client gives up.
-HEARTBEAT_S: Final = 0.2
-ELECTION_TIMEOUT_S: Final = 0.9
+# Times of the control group in seconds: a leader within two timeouts, as nodes
+# without a disk wait for one after all have lost power; some round trips.
+HEARTBEAT_S: Final = 0.12
+ELECTION_TIMEOUT_S: Final = 0.5
 # Silence in seconds after which a control host may be replaced by another one:
 # longer than a restart takes.
 REPLACE_AFTER_S: Final = 3
--- a/lycheespar/tests/commands/check_tests.py
+++ b/lycheespar/tests/commands/check_tests.py
@@ -54,6 +54,14 @@
     assert done.output.startswith('settings_invalid: missing.json')
 
 
+@pytest.mark.parametrize('role', ['hosted-node', 'hosted-control'])
+def test_settings_of_the_platform_are_checked_too(run, role):
+    done = run({'self': {}, 'network': {}}, '--role', role)
+    assert done.exit_code == 2
+    assert 'error: self.ip: must be a text' in done.output
+    assert 'error: network.seed_nodes: must be a list' in done.output
+
+
 def test_the_version_is_printed():
     done = CliRunner().invoke(cli, ['version', '--json'])
     assert json.loads(done.output)['protocol'] == 1
