--- /dev/null
+++ b/lycheespar/tests/platform/whole_tests.py
@@ -0,0 +1,194 @@
+"""The real programs on a stand-in of the platform, as separate processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import shutil
+import uuid
+
+import aiohttp
+import pytest
+
+from lycheespar.tests.platform.documents_tests import (
+    LIMITS,
+    document,
+    route,
+    service,
+)
+from standins.platform import DEADLINE, ID, SEAL, Machine, Site
+
+HOST = {'Host': 'a.example'}
+
+
+@pytest.fixture
+async def site(tmp_path):
+    """Run three control machines and three nodes with a target each."""
+    planned = Site(tmp_path)
+    for zone in ('a', 'b', 'c'):
+        planned.add(zone, 'control')
+        planned.add(zone, 'node', 'records')
+    await planned.start()
+    yield planned
+    await planned.stop()
+
+
+async def _configure(site: Site) -> None:
+    items = (
+        route('r-1', timeout='3s'),
+        route('r-2', route_type='non_idempotent', timeout='3s'),
+        service(),
+        LIMITS,
+    )
+    sent = document('00000001', '00000000', *items)
+    status, _ = await site.order('config.put', sent)
+    assert status == 200
+    await site.ready()
+
+
+async def _call(machine: Machine, path: str = '/r-1/x', method: str = 'GET'):
+    """Send one request; return its id, status and seal."""
+    identity = uuid.uuid4().hex
+    headers = HOST | {ID: identity, DEADLINE: '3000'}
+    url = f'http://{machine.address("outbound")}{path}'
+    async with aiohttp.ClientSession() as session:
+        async with session.request(method, url, headers=headers) as answer:
+            await answer.read()
+            return identity, answer.status, answer.headers.get(SEAL, '')
+
+
+def _nodes(site: Site) -> list[Machine]:
+    return [found for found in site.machines if found.role == 'node']
+
+
+async def test_a_calm_day(site):
+    await _configure(site)
+    for machine in _nodes(site) * 5:
+        for path, method in (('/r-1/x', 'GET'), ('/r-2/x', 'POST')):
+            identity, status, seal = await _call(machine, path, method)
+            assert status == 200
+            assert seal.endswith(identity)
+    runs = sum(
+        (target.runs for target in site.targets),
+        start=type(site.targets[0].runs)(),
+    )
+    assert max(runs.values()) == 1
+    assert [target.faults for target in site.targets] == [[], [], []]
+    assert len([found for found in site.targets if found.runs]) > 1
+
+
+async def test_the_configuration_is_changed_and_read_back(site):
+    await _configure(site)
+    patch = {
+        'version': '00000003',
+        'base_version': '00000001',
+        'upsert': {'resources': [route('r-9')]},
+        'remove': {'routes': ['r-1']},
+    }
+    assert (await site.order('config.patch', patch))[0] == 200
+    assert (await site.order('config.patch', patch))[0] == 200
+    other = patch | {'upsert': {'resources': [route('r-8')]}}
+    assert (await site.order('config.patch', other))[0] == 412
+    status, body = await site.order('config.get')
+    read = json.loads(body)
+    names = [item['metadata'].get('name') for item in read['resources']]
+    assert (status, read['version']) == (200, '00000003')
+    assert names == ['r-2', 'r-9', 'records', None]
+    for machine in _nodes(site):
+        async with asyncio.timeout(10):
+            while (await _call(machine, '/r-9/x'))[1] != 200:
+                await asyncio.sleep(0.05)
+        assert (await _call(machine))[1] == 404
+
+
+async def test_an_evacuated_zone_gets_nothing(site):
+    await _configure(site)
+    assert (await site.order('evacuate.start&of=a'))[0] == 200
+    emptied = site.targets[0]
+    async with asyncio.timeout(10):
+        while 'configuration_taken' not in _newest(_nodes(site)):
+            await asyncio.sleep(0.05)
+    before = emptied.runs.total()
+    for machine in _nodes(site) * 6:
+        assert (await _call(machine))[1] == 200
+    assert emptied.runs.total() == before
+    assert (await site.order('evacuate.end&of=a'))[0] == 200
+
+
+def _newest(machines: list[Machine]) -> str:
+    """Return the event that all nodes have logged for the evacuation."""
+    told = all('"out":["a"]' in found.log.read_text() for found in machines)
+    return 'configuration_taken' if told else ''
+
+
+async def test_a_lost_control_disk_loses_nothing(site):
+    await _configure(site)
+    lost = site.seeds[0]
+    lost.kill()
+    shutil.rmtree(lost.data)
+    lost.start()
+    status, body = await site.order('config.get')
+    assert (status, json.loads(body)['version']) == (200, '00000001')
+    async with asyncio.timeout(20):
+        while 'is to vote' not in ''.join(
+            found.log.read_text() for found in site.seeds
+        ):
+            await asyncio.sleep(0.1)
+
+
+async def test_all_machines_are_killed_and_come_back(site):
+    await _configure(site)
+    for machine in site.machines:
+        machine.kill()
+    for machine in site.machines:
+        machine.log.write_text('')
+        machine.start()
+    await site.ready()
+    for machine in _nodes(site):
+        assert (await _call(machine))[1] == 200
+
+
+async def test_a_stop_beside_a_live_target_cuts_nothing(site):
+    await _configure(site)
+    stopping = _nodes(site)[0]
+    for target in site.targets:
+        target.work_s = 0.3
+    statuses: list[int] = []
+
+    async def press() -> None:
+        while not stopping.ended:
+            try:
+                statuses.append((await _call(stopping))[1])
+            except aiohttp.ClientConnectorError:
+                # The port is closed: nothing was sent.
+                return
+
+    callers = [asyncio.create_task(press()) for _ in range(6)]
+    await asyncio.sleep(0.5)
+    stopping.terminate()
+    await asyncio.gather(*callers)
+    assert set(statuses) == {200}
+
+
+async def test_a_draining_target_gets_nothing_more(site):
+    await _configure(site)
+    draining = site.targets[1]
+    draining.state = 'draining'
+    async with aiohttp.ClientSession() as session:
+        assert await draining.beat(session) == 200
+    before = draining.runs.total()
+    for machine in _nodes(site) * 6:
+        assert (await _call(machine))[1] == 200
+    assert draining.runs.total() == before
+
+
+async def test_metrics_are_served(site):
+    await _configure(site)
+    machine = _nodes(site)[0]
+    await _call(machine)
+    url = f'http://{machine.ip}:9464/metrics'
+    async with aiohttp.ClientSession() as session:
+        async with session.get(url) as answer:
+            text = await answer.text()
+    assert 'lycheespar_call_total' in text
+    assert 'lycheespar_configuration_label 1.0' in text
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,313 @@
+"""Stand-in for the users' platform: machines, targets and an operator.
+
+Machines are IP numbers of the loopback network. The real programs run on them
+as separate processes, with settings files in the platform's format.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+from aiohttp import web
+
+from standins.cluster import STOP_TIMEOUT_S, free_port, wait_until
+
+BEAT_S: Final = 0.3
+ID: Final = 'X-Lycheespar-Attempt-Id'
+DEADLINE: Final = 'X-Lycheespar-Deadline-Ms'
+SEAL: Final = 'X-Lycheespar-Response-Seal'
+LOAD: Final = 'X-Lycheespar-Server-Load'
+_PID: Final = os.getpid()
+_NETWORK: Final = f'127.{130 + _PID // 256 % 100}.{_PID % 256}'
+
+
+class Machine:
+    """One machine with one program of the system."""
+
+    def __init__(self, site: Site, number: int, zone: str, role: str) -> None:
+        """Plan the machine; `start` starts the program."""
+        self.site = site
+        self.ip = f'{_NETWORK}.{number}'
+        self.zone = zone
+        self.role = role
+        self.service = ''
+        self.first_start = True
+        self.folder = site.folder / f'machine-{number}'
+        self._child: subprocess.Popen[bytes] | None = None
+
+    def address(self, name: str) -> str:
+        """Return one of the addresses on which the program listens."""
+        return f'{self.ip}:{self.site.ports[name]}'
+
+    def start(self) -> None:
+        """Write the settings file and start the program."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        path = self.folder / 'local.json'
+        path.write_text(json.dumps(self._settings()))
+        with self.log.open('ab') as log:
+            self._child = subprocess.Popen(
+                [sys.executable, '-m', 'lycheespar', f'hosted-{self.role}'],
+                stdout=log,
+                stderr=log,
+                env={'PATH': os.environ['PATH'], 'LYCHEESPAR_SETTINGS': path},
+            )
+        self.first_start = False
+
+    @property
+    def log(self) -> Path:
+        """File with the output of the program."""
+        return self.folder / 'log'
+
+    @property
+    def data(self) -> Path:
+        """Folder on the machine's disk."""
+        return self.folder / 'data'
+
+    def kill(self) -> None:
+        """End the program at once."""
+        if self._child is not None:
+            self._child.kill()
+            self._child.wait(STOP_TIMEOUT_S)
+
+    def terminate(self) -> None:
+        """Ask the program to stop."""
+        assert self._child is not None
+        self._child.send_signal(signal.SIGTERM)
+
+    @property
+    def ended(self) -> bool:
+        """Whether the program has ended."""
+        return self._child is not None and self._child.poll() is not None
+
+    def _settings(self) -> dict[str, Any]:
+        named = ('control_plane',)
+        if self.role == 'node':
+            named = ('control_plane', 'outbound', 'ready_addr')
+        return {
+            'self': {
+                'node_id': f'{self.role}-{self.ip}',
+                'ip': self.ip,
+                'zone': self.zone,
+                'bootstrap': self.first_start,
+                'data_dir': str(self.data) if self.role == 'control' else None,
+                'service': self.service,
+            },
+            'network': {
+                'listen_addrs': {name: self.address(name) for name in named},
+                'internal_port_range': [
+                    self.site.ports['internal'],
+                    self.site.ports['internal'] + 9,
+                ],
+                'seed_nodes': [
+                    machine.address('control_plane')
+                    for machine in self.site.seeds
+                ],
+            },
+            'platform': {'heartbeat_interval': f'{int(BEAT_S * 1000)}ms'},
+            'terms': {
+                'fault_tolerance': {'machines': 1},
+                'bounds': {'grace_period': '4s'},
+            },
+        }
+
+
+class Target:
+    """Application server beside a node; checks and counts what it gets."""
+
+    def __init__(self, machine: Machine, identity: str) -> None:
+        """Plan the target; `start` opens its port."""
+        self.machine = machine
+        self.identity = identity
+        self.runs: Counter[str] = Counter()
+        self.faults: list[str] = []
+        self.work_s = 0.01
+        self.cold_ms = 0
+        self.state = 'ready'
+        self._sequence = 0
+        self._running = 0
+        self._born = int(time.time() * 1000)
+        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._task: asyncio.Task[None] | None = None
+        self.address = ''
+
+    async def start(self) -> None:
+        """Open the port and begin to announce the target."""
+        await self._runner.setup()
+        port = free_port(self.machine.ip)
+        await web.TCPSite(self._runner, self.machine.ip, port).start()
+        self.address = f'{self.machine.ip}:{port}'
+        self._task = asyncio.create_task(self._announce())
+
+    async def stop(self) -> None:
+        """Close the port and fall silent."""
+        if self._task is not None:
+            self._task.cancel()
+        await self._runner.cleanup()
+
+    async def beat(self, session: aiohttp.ClientSession) -> int:
+        """Send one heartbeat; return the status of its answer."""
+        self._sequence += 1
+        body = {
+            'address': self.address,
+            'info': {
+                'service': self.machine.service,
+                'version': 'v1',
+                'zone': self.machine.zone,
+                'slots': 8,
+            },
+            'status': {
+                'state': self.state,
+                'sequence': self._sequence,
+                'cold_remaining': f'{self.cold_ms}ms',
+            },
+            'born': self._born,
+        }
+        call = f'call=instances.heartbeat&of={self.identity}'
+        url = f'http://{self.machine.address("control_plane")}/api/rpc?{call}'
+        async with session.post(url, json=body) as answer:
+            return answer.status
+
+    async def _announce(self) -> None:
+        async with aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    await self.beat(session)
+                except aiohttp.ClientError:
+                    # The node beside it is away; the next beat may come.
+                    await asyncio.sleep(BEAT_S / 3)
+                await asyncio.sleep(BEAT_S)
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        load = {LOAD: f'{self._running},0,8,100'}
+        if request.path == '/health':
+            told = {'X-Lycheespar-Instance-Id': self.identity}
+            cold = {'X-Lycheespar-Cold-Ms': str(self.cold_ms)}
+            return web.Response(headers=told | cold | load)
+        expected = request.headers.get('X-Lycheespar-Expected-Instance')
+        if expected not in {None, self.identity}:
+            return web.Response(status=421)
+        identity = request.headers.get(ID, '')
+        body = await request.read()
+        self._check(request)
+        self.runs[identity] += 1
+        self._running += 1
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self._running -= 1
+        sealed = {ID: identity, SEAL: f'{self.identity}.{identity}'}
+        said = f'{request.method} {request.path} {len(body)}'
+        return web.Response(text=said, headers=sealed | load)
+
+    def _check(self, request: web.BaseRequest) -> None:
+        if not request.headers.get('X-Lycheespar-Caller-Service'):
+            self.faults.append('the service of the caller is not told')
+        if not request.headers.get(DEADLINE, '').isdecimal():
+            self.faults.append('the deadline is not told')
+
+
+class Site:
+    """Machines of one site, with their targets and an operator."""
+
+    def __init__(self, folder: Path) -> None:
+        """Plan a site without machines."""
+        self.folder = folder
+        self.machines: list[Machine] = []
+        self.targets: list[Target] = []
+        names = ('control_plane', 'outbound', 'ready_addr', 'internal')
+        self.ports = {
+            name: free_port(f'{_NETWORK}.1') + offset * 20
+            for offset, name in enumerate(names)
+        }
+
+    @property
+    def seeds(self) -> list[Machine]:
+        """The first control machines."""
+        return [found for found in self.machines if found.role == 'control'][:3]
+
+    def add(self, zone: str, role: str, service: str = '') -> Machine:
+        """Plan a machine, with a target if a service is named."""
+        machine = Machine(self, len(self.machines) + 1, zone, role)
+        machine.service = service
+        self.machines.append(machine)
+        if service:
+            identity = f'i-{len(self.targets)}'
+            self.targets.append(Target(machine, identity))
+        return machine
+
+    async def start(self) -> None:
+        """Start all programs and targets."""
+        for machine in self.machines:
+            machine.start()
+        for target in self.targets:
+            await target.start()
+
+    async def stop(self) -> None:
+        """End everything."""
+        for target in self.targets:
+            await target.stop()
+        for machine in self.machines:
+            machine.kill()
+
+    async def order(self, call: str, body: Any = None) -> tuple[int, bytes]:
+        """Send an operator's order until it is answered for good."""
+        async with aiohttp.ClientSession() as session:
+            for _ in range(40):
+                for machine in self.machines:
+                    if machine.role != 'control' or machine.ended:
+                        continue
+                    url = f'http://{machine.address("control_plane")}'
+                    try:
+                        async with session.post(
+                            f'{url}/api/rpc?call={call}',
+                            json=body,
+                        ) as answer:
+                            if answer.status < 500:
+                                return answer.status, await answer.read()
+                    except aiohttp.ClientError:
+                        # Another control machine may answer.
+                        continue
+                await asyncio.sleep(0.1)
+        raise TimeoutError(call)
+
+    async def ready(self) -> None:
+        """Wait until all nodes are ready and know all targets."""
+        async with aiohttp.ClientSession() as session:
+            for machine in self.machines:
+                if machine.role == 'node':
+                    await _until_ready(session, machine)
+        await wait_until(
+            lambda: all(
+                machine.log.read_text().count('"phase":"ready"')
+                >= len(self.targets)
+                for machine in self.machines
+                if machine.role == 'node'
+            ),
+        )
+
+
+async def _until_ready(
+    session: aiohttp.ClientSession,
+    machine: Machine,
+) -> None:
+    url = f'http://{machine.address("ready_addr")}/api/ready'
+    for _ in range(200):
+        try:
+            async with session.get(url) as answer:
+                if answer.status == 200:
+                    return
+        except aiohttp.ClientError:
+            # Its port is not open yet.
+            pass
+        await asyncio.sleep(0.1)
+    raise TimeoutError(machine.ip)
