--- a/lycheespar/tests/platform/whole_tests.py
+++ b/lycheespar/tests/platform/whole_tests.py
@@ -51,10 +51,12 @@
     identity = uuid.uuid4().hex
     headers = HOST | {ID: identity, DEADLINE: '3000'}
     url = f'http://{machine.address("outbound")}{path}'
-    async with aiohttp.ClientSession() as session:
-        async with session.request(method, url, headers=headers) as answer:
-            await answer.read()
-            return identity, answer.status, answer.headers.get(SEAL, '')
+    async with (
+        aiohttp.ClientSession() as session,
+        session.request(method, url, headers=headers) as answer,
+    ):
+        await answer.read()
+        return identity, answer.status, answer.headers.get(SEAL, '')
 
 
 def _nodes(site: Site) -> list[Machine]:
@@ -187,8 +189,10 @@
     machine = _nodes(site)[0]
     await _call(machine)
     url = f'http://{machine.ip}:9464/metrics'
-    async with aiohttp.ClientSession() as session:
-        async with session.get(url) as answer:
-            text = await answer.text()
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(url) as answer,
+    ):
+        text = await answer.text()
     assert 'lycheespar_call_total' in text
     assert 'lycheespar_configuration_label 1.0' in text
