--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,11 @@
 PYTHON ?= python3.11
 BIN = $(VENV)/bin
 DEPLOYMENT ?= both
+SCENARIO ?= trouble
 JOBS ?= 4
 STAMP = $(VENV)/.installed
 
-.PHONY: install test lint format demo bench soak binary docs
+.PHONY: install test lint format demo emulate bench soak binary docs
 
 install: $(STAMP)
 
@@ -30,6 +31,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m demo --deployment $(DEPLOYMENT) $(if $(TRACE),--trace)
 
+emulate: $(STAMP)
+	$(BIN)/python -m demo.emulate examples/scenarios/$(SCENARIO).json --report build/$(SCENARIO).html
+
 bench: $(STAMP)
 	$(BIN)/python -m bench
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -42,6 +42,7 @@
         self.role = role
         self.service = ''
         self.first_start = True
+        self.leaving = False
         self.folder = site.folder / f'machine-{number}'
         self._child: subprocess.Popen[bytes] | None = None
 
@@ -131,6 +132,9 @@
         self.runs: Counter[str] = Counter()
         self.faults: list[str] = []
         self.work_s = 0.01
+        self.work_ms: dict[str, float] = {}
+        self.pace = 1.0
+        self.foreign = False
         self.cold_ms = 0
         self.state = 'ready'
         self._sequence = 0
@@ -188,7 +192,7 @@
                 await asyncio.sleep(BEAT_S)
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
-        load = {LOAD: f'{self._running},0,8,100'}
+        load = {LOAD: f'{self._running},0,8,{self.pace * 100:.0f}'}
         if request.path == '/health':
             told = {'X-Lycheespar-Instance-Id': self.identity}
             cold = {'X-Lycheespar-Cold-Ms': str(self.cold_ms)}
@@ -202,13 +206,22 @@
         self.runs[identity] += 1
         self._running += 1
         try:
-            await asyncio.sleep(self.work_s)
+            await asyncio.sleep(self._work_s(request.path))
         finally:
             self._running -= 1
+        if self.foreign and self.runs.total() % 5 == 0:
+            identity = 'another'
         sealed = {ID: identity, SEAL: f'{self.identity}.{identity}'}
         said = f'{request.method} {request.path} {len(body)}'
         return web.Response(text=said, headers=sealed | load)
 
+    def _work_s(self, path: str) -> float:
+        """Return how long a request takes, by the beginning of its path."""
+        prefix = path[: path.find('/', 1) + 1]
+        known_ms = self.work_ms.get(prefix)
+        usual_s = self.work_s if known_ms is None else known_ms / 1000
+        return usual_s * self.pace
+
     def _check(self, request: web.BaseRequest) -> None:
         if not request.headers.get('X-Lycheespar-Caller-Service'):
             self.faults.append('the service of the caller is not told')
@@ -280,6 +293,11 @@
                 await asyncio.sleep(0.1)
         raise TimeoutError(call)
 
+    async def until_ready(self, machine: Machine) -> None:
+        """Wait until one node says that it is ready."""
+        async with aiohttp.ClientSession() as session:
+            await _until_ready(session, machine)
+
     async def ready(self) -> None:
         """Wait until all nodes are ready and know all targets."""
         async with aiohttp.ClientSession() as session:
@@ -300,6 +318,7 @@
     session: aiohttp.ClientSession,
     machine: Machine,
 ) -> None:
+    """Wait until a node says that it is ready."""
     url = f'http://{machine.address("ready_addr")}/api/ready'
     for _ in range(200):
         try:
