--- a/lycheespar/platform/announcements.py
+++ b/lycheespar/platform/announcements.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any, Final
 
 import msgspec
@@ -9,7 +10,7 @@
 from loguru import logger
 
 from lycheespar.config.options import Address, parse_address
-from lycheespar.platform.durations import parse_s
+from lycheespar.platform.durations import MS_PER_S, parse_s
 from lycheespar.targets.announcement import Announcement, LocalTarget
 
 CALL_PATH: Final = '/api/rpc'
@@ -63,16 +64,44 @@
 _PHASES: Final[dict[str, Any]] = {'ready': 'ready', 'draining': 'draining'}
 
 
+class _Departure(msgspec.Struct):
+    """Body of a deregistration, which may be empty.
+
+    Attributes
+    ----------
+    born : int
+        Unix millisecond of the target's start; 0 where it is not told.
+    """
+
+    born: int = 0
+
+
+_departures = msgspec.json.Decoder(_Departure)
+
+
 class _Known(msgspec.Struct):
-    """Newest start of one target, and its newest announcement."""
+    """Newest start of one target, and its newest announcement.
+
+    Attributes
+    ----------
+    born : int
+        Unix millisecond of the start, or of the departure where a target
+        that was not known before left without telling its start.
+    sequence : int
+        Number of the newest heartbeat.
+    left : bool
+        Whether the target takes no new work any more.
+    """
 
     born: int
     sequence: int
     left: bool = False
 
     def is_past(self, born: int, sequence: int) -> bool:
-        """Whether an announcement of this start was overtaken."""
-        return self.born == born and (self.left or sequence <= self.sequence)
+        """Whether an announcement was overtaken by what is known."""
+        if self.left:
+            return born <= self.born
+        return self.born == born and sequence <= self.sequence
 
 
 class HeartbeatServer:
@@ -189,10 +218,14 @@
         return True
 
     def _leave(self, target: str, body: bytes) -> web.Response:
-        """Take that a target takes no new work from now on."""
+        """Take that a target takes no new work from now on.
+
+        This holds also for one that was not known, as this process may have
+        just started: a heartbeat that comes late must not bring it back.
+        """
         known = self._known.get(target)
-        if known is not None:
-            known.left = True
+        born = max(_born(body), known.born if known else 0)
+        self._known[target] = _Known(born or _now_ms(), 0, left=True)
         current = self._target.current
         if current is not None and current.target == target:
             self._target.leave()
@@ -200,6 +233,19 @@
         return _reply(200)
 
 
+def _born(body: bytes) -> int:
+    """Return the start that a deregistration tells, 0 for none."""
+    try:
+        return _departures.decode(body).born if body else 0
+    except msgspec.DecodeError as error:
+        log.warning('The body of a deregistration is invalid: {}.', error)
+        return 0
+
+
+def _now_ms() -> int:
+    return int(time.time() * MS_PER_S)
+
+
 def _reply(status: int, problem: str = '') -> web.Response:
     body = {'error': problem} if problem else {}
     return web.json_response(body, status=status)
--- a/lycheespar/tests/platform/announcements_tests.py
+++ b/lycheespar/tests/platform/announcements_tests.py
@@ -85,6 +85,19 @@
     assert announced.state is Phase.left
 
 
+@pytest.mark.parametrize('body', [{}, {'born': 1000}])
+async def test_a_target_that_left_unknown_is_not_brought_back(announced, body):
+    assert await announced.call('instances.deregister', **body) == 200
+    assert await announced.beat(7) == 200
+    assert announced.state is None
+
+
+async def test_a_target_that_left_unknown_may_start_again(announced):
+    await announced.call('instances.deregister', born=1000)
+    await announced.beat(1, born=2000)
+    assert announced.state is Phase.ready
+
+
 async def test_a_target_that_started_again_counts_anew(announced):
     await announced.beat(9, 'draining')
     await announced.call('instances.deregister')
