Saved retries are a part of what all nodes may save

Cause: each node saved 10 retries for each service, whatever the number of nodes: 600 with 60 nodes, where a service bears a fixed number; the share was fixed too, though deployments state theirs. Ruled out: counting repeats across nodes (messages at each retry). Change: a node saves its part of saved_retries, 1 to 10; most_retry_share bounds the share; the platform's settings give both. Before and after: test with 60 nodes, 600 repeats before, 60 after.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -36,12 +36,16 @@
 from lycheespar.membership.broadcast import BroadcastTable
 from lycheespar.membership.endpoint import HostPort
 from lycheespar.membership.gossip import Gossip
-from lycheespar.membership.presence import own_record, with_target
-from lycheespar.membership.records import MemberRecord
+from lycheespar.membership.presence import (
+    control_record,
+    own_record,
+    with_target,
+)
 from lycheespar.membership.view import MembershipView
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
 from lycheespar.routing.attempts import Attempts
+from lycheespar.routing.budget import RetryBudgets
 from lycheespar.routing.keyed import KeyedDispatch
 from lycheespar.routing.picker import Picker
 from lycheespar.routing.recall import Recall
@@ -117,6 +121,10 @@
             self._members,
             self._configuration,
         )
+        self._budgets = RetryBudgets(
+            settings.saved_retries,
+            settings.most_retry_share,
+        )
         hello = Hello(settings.name, incarnation, 0)
         self._pool = self._telemetry.pool(hello, settings.inner.host)
         execution = self._build_execution()
@@ -221,6 +229,7 @@
                 lambda: self._executor.load,
             ),
             self._configuration,
+            self._budgets,
         )
         return KeyedDispatch(
             SuspectDispatch(
@@ -356,18 +365,8 @@
             return None
         members = MembershipView()
         members.changes.subscribe(host.meet)
-        record = MemberRecord(
-            settings.name,
-            time.time_ns(),
-            0,
-            settings.gossip.host,
-            0,
-            settings.gossip.port,
-            settings.data_centre,
-            control_port=host.address.port,
-        )
         self._gossip = Gossip(
-            record,
+            control_record(settings, host.address, time.time_ns()),
             _host_ports(settings.seeds),
             members,
             GroupStamps(host.group),
--- a/lycheespar/config/settings.py
+++ b/lycheespar/config/settings.py
@@ -64,6 +64,16 @@
         'Folder for the last configuration; none is kept without it.',
         None,
     )
+    saved_retries = Number(
+        'Retries that all nodes together may save up for one service.',
+        100,
+        low=1,
+    )
+    most_retry_share = Number(
+        'Most retries for each fresh call, whatever a service allows, 0 to 1.',
+        1,
+        high=1,
+    )
     drain_s = Number('Longest time of a graceful stop in seconds.', 30)
     drain_spread_s = Number(
         'Time in seconds for which a stopping node takes new requests, until '
--- a/lycheespar/membership/presence.py
+++ b/lycheespar/membership/presence.py
@@ -1,4 +1,4 @@
-"""The own record of a node among the members."""
+"""The own record of a node or control host among the members."""
 
 from __future__ import annotations
 
@@ -9,7 +9,8 @@
 from lycheespar.membership.records import MemberRecord, Phase
 
 if TYPE_CHECKING:
-    from lycheespar.config.settings import NodeSettings
+    from lycheespar.config.options import Address
+    from lycheespar.config.settings import ControlSettings, NodeSettings
     from lycheespar.targets.announcement import Announcement
 
 
@@ -27,6 +28,24 @@
     )
 
 
+def control_record(
+    settings: ControlSettings,
+    address: Address,
+    incarnation: int,
+) -> MemberRecord:
+    """Return the record of a control host, which has no target."""
+    return MemberRecord(
+        settings.name,
+        incarnation,
+        0,
+        settings.gossip.host,
+        0,
+        settings.gossip.port,
+        settings.data_centre,
+        control_port=address.port,
+    )
+
+
 def with_target(
     record: MemberRecord,
     announcement: Announcement | None,
--- a/lycheespar/membership/view.py
+++ b/lycheespar/membership/view.py
@@ -30,6 +30,7 @@
         '_buckets',
         '_by_service',
         '_checksums',
+        '_nodes',
         '_records',
         '_subject',
         '_tombstones',
@@ -38,6 +39,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self._records: dict[str, MemberRecord] = {}
+        self._nodes = 0
         self._by_service: dict[str, dict[str, MemberRecord]] = {}
         self._buckets: list[set[str]] = [set() for _ in range(BUCKETS)]
         self._checksums = [0 for _ in range(BUCKETS)]
@@ -59,6 +61,11 @@
         """Last records of members that were removed."""
         return self._tombstones.values()
 
+    @property
+    def nodes(self) -> int:
+        """Number of members that serve callers: all but control hosts."""
+        return self._nodes
+
     @property
     def checksums(self) -> bytes:
         """Checksums of all buckets."""
@@ -148,6 +155,7 @@
 
     def _insert(self, record: MemberRecord) -> None:
         self._records[record.node] = record
+        self._nodes += not record.control_port
         index = _bucket_of(record.node)
         self._buckets[index].add(record.node)
         self._checksums[index] ^= _checksum_of(record)
@@ -156,6 +164,7 @@
             mates[record.node] = record
 
     def _discard(self, record: MemberRecord) -> None:
+        self._nodes -= not record.control_port
         index = _bucket_of(record.node)
         self._buckets[index].discard(record.node)
         self._checksums[index] ^= _checksum_of(record)
--- a/lycheespar/platform/settings.py
+++ b/lycheespar/platform/settings.py
@@ -39,6 +39,16 @@
 # Silence in seconds after which a control host may be replaced by another one:
 # longer than a restart takes.
 REPLACE_AFTER_S: Final = 3
+# Repeated arrivals at a service for each fresh one, and beyond that share, in
+# settings that name no bounds: those of the smallest deployment described.
+RETRY_SHARE: Final = 0.2
+SPARE_RETRIES: Final = 60
+# Part of that share that nodes spend: calls that their target repeats on its
+# own count too.
+SPENT_SHARE: Final = 0.6
+# Part of the spare retries that nodes save up: those that start again during a
+# restart of all have it once more.
+SAVED_SHARE: Final = 0.5
 # Longest time in seconds for an operator's order: clients turn to another
 # host after a second.
 ORDER_TIMEOUT_S: Final = 0.9
@@ -73,6 +83,10 @@
         Time between two announcements of a target, in seconds.
     losses : int
         Control hosts that may be lost at once.
+    retry_share : float
+        Repeated arrivals at a service for each fresh one, all nodes together.
+    spare_retries : float
+        Repeated arrivals at a service beyond that share.
     """
 
     node: str
@@ -87,6 +101,8 @@
     grace_s: float
     heartbeat_s: float
     losses: int
+    retry_share: float
+    spare_retries: float
 
     def internal(self, host: str, offset: int) -> Address:
         """Return an address in the range for processes of the system."""
@@ -158,6 +174,8 @@
             # Only nodes in touch with the control hosts are bound by changes
             # in time; the others serve what they know.
             'serve_stale': True,
+            'most_retry_share': platform.retry_share * SPENT_SHARE,
+            'saved_retries': max(platform.spare_retries * SAVED_SHARE, 1),
             'drain_s': platform.grace_s * STOP_SHARE,
             'drain_spread_s': platform.grace_s * SPREAD_SHARE,
         },
@@ -246,6 +264,14 @@
                 '1500ms',
             ),
             losses=self._losses(),
+            retry_share=self._number(
+                'retry_budget_ratio',
+                RETRY_SHARE,
+            ),
+            spare_retries=self._number(
+                'budget_extra_retries',
+                SPARE_RETRIES,
+            ),
         )
         if self._problems:
             raise SettingsError(tuple(self._problems))
@@ -310,6 +336,13 @@
             for index, text in enumerate(given)
         )
 
+    def _number(self, name: str, default: float) -> float:
+        found = self._table('terms', 'bounds').get(name, default)
+        if isinstance(found, int | float) and found >= 0:
+            return found
+        self._problems.append(f'terms.bounds.{name}: must be a number')
+        return default
+
     def _losses(self) -> int:
         found = self._table('terms', 'fault_tolerance').get('machines', 1)
         if isinstance(found, int) and found >= 0:
--- a/lycheespar/routing/attempts.py
+++ b/lycheespar/routing/attempts.py
@@ -89,6 +89,11 @@
         self._picker = picker
         self._table = TargetTable()
 
+    @property
+    def nodes(self) -> int:
+        """Number of nodes known that serve callers."""
+        return self._members.nodes
+
     async def choose(
         self,
         call: Call,
--- a/lycheespar/routing/budget.py
+++ b/lycheespar/routing/budget.py
@@ -4,8 +4,11 @@
 
 from typing import Final
 
-# Retries that may be saved up, so that a quiet service can retry at all.
-BURST: Final = 10
+# Most retries that one node may save up for a service: enough for the calls
+# that one lost target leaves behind.
+MOST_SAVED: Final = 10
+# Least that it may save up: one retry.
+LEAST_SAVED: Final = 1
 
 
 class RetryBudget:
@@ -17,44 +20,57 @@
         Fresh calls, retries and hedges paid for, and those denied, so far.
     """
 
-    __slots__ = ('_tokens', 'denied', 'fresh', 'spent')
+    __slots__ = ('_saved', 'denied', 'fresh', 'spent')
 
     def __init__(self) -> None:
         """Start full."""
-        self._tokens = float(BURST)
+        self._saved = float('inf')
         self.fresh = 0
         self.spent = 0
         self.denied = 0
 
-    def deposit(self, share: float) -> None:
+    def deposit(self, share: float, most: float) -> None:
         """Count a fresh call.
 
         Parameters
         ----------
         share : float
             Retries and hedges that one fresh call allows, 0 to 1.
+        most : float
+            Retries that may be saved up, so that a quiet service can retry at
+            all.
         """
         self.fresh += 1
-        self._tokens = min(self._tokens + share, BURST)
+        self._saved = min(self._saved + share, most)
 
     def withdraw(self, cost: float) -> bool:
         """Pay for one retry or hedge; say whether there was enough."""
-        if self._tokens < cost:
+        if self._saved < cost:
             self.denied += 1
             return False
-        self._tokens -= cost
+        self._saved -= cost
         self.spent += 1
         return True
 
 
 class RetryBudgets:
-    """Budgets by service."""
+    """Budgets by service, each a part of what all nodes may spend.
 
-    __slots__ = ('_budgets',)
+    Parameters
+    ----------
+    saved_by_all : float
+        Retries that all nodes together may save up for one service.
+    most_share : float
+        Most retries for each fresh call, whatever the service's parameters.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('_budgets', '_most_share', '_saved_by_all')
+
+    def __init__(self, saved_by_all: float, most_share: float) -> None:
         """Start without services."""
         self._budgets: dict[str, RetryBudget] = {}
+        self._saved_by_all = saved_by_all
+        self._most_share = most_share
 
     def of_service(self, service: str) -> RetryBudget:
         """Return the budget of a service."""
@@ -63,3 +79,23 @@
             budget = RetryBudget()
             self._budgets[service] = budget
         return budget
+
+    def count(self, service: str, share: float, nodes: int) -> RetryBudget:
+        """Count a fresh call; return the budget of its service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        share : float
+            Retries and hedges that the service allows for each fresh call.
+        nodes : int
+            Nodes that serve callers, this one included.
+        """
+        part = self._saved_by_all / max(nodes, 1)
+        budget = self.of_service(service)
+        budget.deposit(
+            min(share, self._most_share),
+            min(max(part, LEAST_SAVED), MOST_SAVED),
+        )
+        return budget
--- a/lycheespar/routing/router.py
+++ b/lycheespar/routing/router.py
@@ -35,6 +35,8 @@
         Runs single attempts.
     configuration : ConfigurationView
         Gives the parameters of the services.
+    budgets : RetryBudgets
+        Pay for retries and hedges.
     """
 
     __slots__ = ('_attempts', '_budgets', '_configuration')
@@ -43,16 +45,12 @@
         self,
         attempts: Attempts,
         configuration: ConfigurationView,
+        budgets: RetryBudgets,
     ) -> None:
         """Keep the parts."""
         self._attempts = attempts
         self._configuration = configuration
-        self._budgets = RetryBudgets()
-
-    @property
-    def budgets(self) -> RetryBudgets:
-        """Budgets of retries and hedges by service."""
-        return self._budgets
+        self._budgets = budgets
 
     async def dispatch(self, call: Call) -> Answer:
         """Run a call at one of its service's targets.
@@ -68,8 +66,11 @@
         """
         service = self._configuration.services.get(call.service)
         parameters = _DEFAULTS if service is None else service.parameters
-        budget = self._budgets.of_service(call.service)
-        budget.deposit(parameters.retry_share)
+        budget = self._budgets.count(
+            call.service,
+            parameters.retry_share,
+            self._attempts.nodes,
+        )
         progress = Progress(call, budget)
         after_s = call.hedge_after_s or parameters.hedge_after_ms / MS_PER_S
         if after_s and _may_hedge(call):
--- a/lycheespar/tests/platform/settings_tests.py
+++ b/lycheespar/tests/platform/settings_tests.py
@@ -106,3 +106,17 @@
     path.write_text(json.dumps(GIVEN)[:-20])
     with pytest.raises(SettingsError):
         load_settings(path)
+
+
+def test_the_bounds_of_retries_are_kept_with_room(tmp_path):
+    bounds = {'retry_budget_ratio': 0.1, 'budget_extra_retries': 30}
+    settings = node_settings(_load(tmp_path, terms={'bounds': bounds}))
+    assert settings.most_retry_share < 0.1
+    assert settings.saved_retries < 30
+
+
+def test_bounds_that_are_no_numbers_are_named(tmp_path):
+    bounds = {'retry_budget_ratio': 'much', 'budget_extra_retries': -1}
+    with pytest.raises(SettingsError) as caught:
+        _load(tmp_path, terms={'bounds': bounds})
+    assert len(caught.value.problems) == 2
--- a/lycheespar/tests/routing/fakes.py
+++ b/lycheespar/tests/routing/fakes.py
@@ -22,6 +22,7 @@
 from lycheespar.membership.records import Liveness, MemberRecord, Phase
 from lycheespar.membership.view import MembershipView
 from lycheespar.routing.attempts import Attempts
+from lycheespar.routing.budget import RetryBudgets
 from lycheespar.routing.picker import Picker
 from lycheespar.routing.router import Router
 
@@ -135,6 +136,7 @@
 def build_router(
     targets: FakeTargets,
     count: int = 4,
+    budgets: RetryBudgets | None = None,
     **parameters: Any,
 ) -> Router:
     """Build a router in front of fake targets."""
@@ -152,4 +154,4 @@
         picker,
         Load,
     )
-    return Router(attempts, configuration)
+    return Router(attempts, configuration, budgets or RetryBudgets(40, 1))
--- a/lycheespar/tests/routing/router_tests.py
+++ b/lycheespar/tests/routing/router_tests.py
@@ -18,7 +18,7 @@
     TargetLostError,
     TargetRefusedError,
 )
-from lycheespar.routing.budget import BURST
+from lycheespar.routing.budget import MOST_SAVED, RetryBudgets
 from lycheespar.tests.routing.fakes import FakeTargets, build_router, call
 
 
@@ -176,4 +176,27 @@
     for _ in range(40):
         with pytest.raises(RefusedError):
             await router.dispatch(call())
-    assert targets.runs.total() <= 40 + BURST
+    assert targets.runs.total() <= 40 + MOST_SAVED
+
+
+@pytest.mark.parametrize('nodes', [3, 60])
+async def test_all_nodes_together_save_up_no_more_than_a_service_bears(nodes):
+    targets = FakeTargets(lambda *_: TargetRefusedError())
+    routers = [
+        build_router(targets, nodes, RetryBudgets(60, 1), retry_share=0)
+        for _ in range(nodes)
+    ]
+    for router in routers:
+        for _ in range(MOST_SAVED):
+            await _failure(router, call())
+    fresh = nodes * MOST_SAVED
+    assert targets.runs.total() <= fresh + 60
+
+
+async def test_a_node_spends_no_larger_share_than_its_settings_allow():
+    targets = FakeTargets(lambda *_: TargetRefusedError())
+    budgets = RetryBudgets(4, 0.1)
+    router = build_router(targets, budgets=budgets, retry_share=0.5)
+    for _ in range(100):
+        await _failure(router, call())
+    assert targets.runs.total() <= 100 * 1.1 + 4
--- a/lycheespar/tests/routing/site.py
+++ b/lycheespar/tests/routing/site.py
@@ -27,6 +27,7 @@
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
 from lycheespar.routing.attempts import Attempts
+from lycheespar.routing.budget import RetryBudgets
 from lycheespar.routing.keyed import KeyedDispatch
 from lycheespar.routing.picker import Picker
 from lycheespar.routing.pool import ChannelPool
@@ -149,6 +150,7 @@
                 Load,
             ),
             configuration,
+            RetryBudgets(100, 1),
         )
         return KeyedDispatch(
             router,
