--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -33,14 +33,10 @@
 from lycheespar.heap import settle_heap
 from lycheespar.ingress.classify import Classifier
 from lycheespar.ingress.server import IngressServer
+from lycheespar.membership import presence
 from lycheespar.membership.broadcast import BroadcastTable
 from lycheespar.membership.endpoint import HostPort
 from lycheespar.membership.gossip import Gossip
-from lycheespar.membership.presence import (
-    control_record,
-    own_record,
-    with_target,
-)
 from lycheespar.membership.view import MembershipView
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
@@ -98,7 +94,7 @@
         self._members = MembershipView()
         self._broadcasts = BroadcastTable()
         self._gossip = Gossip(
-            own_record(settings, incarnation),
+            presence.own_record(settings, incarnation),
             _host_ports(settings.seeds),
             self._members,
             self._configuration,
@@ -284,7 +280,7 @@
     def _publish(self, announcement: Announcement | None) -> None:
         """Tell the other nodes about the local target."""
         own = self._gossip.own
-        self._gossip.update(with_target(own, announcement))
+        self._gossip.update(presence.with_target(own, announcement))
 
 
 class ControlApp:
@@ -366,7 +362,7 @@
         members = MembershipView()
         members.changes.subscribe(host.meet)
         self._gossip = Gossip(
-            control_record(settings, host.address, time.time_ns()),
+            presence.control_record(settings, host.address, time.time_ns()),
             _host_ports(settings.seeds),
             members,
             GroupStamps(host.group),
