A fault in native code leaves the stacks of all threads

Cause: two nodes ended with an illegal instruction while they started, with no trace of the place. Change: the interpreter's fault handler is on.

--- a/lycheespar/commands/serve.py
+++ b/lycheespar/commands/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -35,6 +36,8 @@
     settings: NodeSettings | ControlSettings, run: Run
 ) -> None:
     """Run a process until a signal stops it."""
+    # A fault in native code leaves the stacks of all threads on stderr.
+    faulthandler.enable()
     configure_logs(
         settings.log_level,
         as_json=settings.log_json,
