--- a/lycheespar/routing/picker.py
+++ b/lycheespar/routing/picker.py
@@ -13,11 +13,8 @@
 # Targets of this data centre, and of others, that are compared.
 LOCAL_SAMPLE: Final = 3
 REMOTE_SAMPLE: Final = 2
-# Power of the used share of a target's limit that its load costs: work takes no
-# longer on a target that is half full, and much longer on one nearly full.
-CROWDING_POWER: Final = 4
-# Costs in units of a target whose whole limit is used.
-REMOTE_COST: Final = 0.08
+# Costs in units of a target's whole limit.
+REMOTE_COST: Final = 0.05
 # What a kilobyte between data centres costs: an answer of 90 kB goes there
 # only where the nearer targets are full and slow.
 CROSSING_COST_A_KB: Final = 0.02
@@ -90,7 +87,7 @@
         now: float,
         size_kb: float = 0,
     ) -> float:
-        """Cost of a call at a target, in units of one that is full.
+        """Cost of a call at a target, in units of the target's limit.
 
         Parameters
         ----------
@@ -102,7 +99,7 @@
             Kilobytes of the request and its answer.
         """
         record = state.record
-        cost = state.usage(now) ** CROWDING_POWER * state.slowness(now)
+        cost = state.usage(now) * state.slowness(now)
         cost += PACE_COST * state.slowdown(now)
         cost += FAILURE_COST * state.failure_share(now)
         cost += MISSED_COST * state.is_silent(now)
--- a/lycheespar/tests/routing/picker_tests.py
+++ b/lycheespar/tests/routing/picker_tests.py
@@ -101,18 +101,3 @@
     kept, ejected = split_outliers(states, 5)
     assert len(ejected) <= MAX_EJECTED_SHARE * len(states)
     assert len(kept) + len(ejected) == len(states)
-
-
-def test_calls_do_not_cross_for_a_target_that_is_only_less_busy():
-    states = [*_states(2), *_states(4, data_centre='rotterdam')[2:]]
-    for state in states:
-        near = state.record.data_centre == 'ijmuiden'
-        state.report(Load(5 if near else 3, 0, 12, 5), 10)
-    assert set(_chosen(states)) == {'node-0', 'node-1'}
-
-
-def test_of_two_half_full_targets_the_less_busy_one_is_chosen():
-    states = _states(2)
-    states[0].report(Load(6, 0, 12, 5), 10)
-    states[1].report(Load(5, 0, 12, 5), 10)
-    assert set(_chosen(states)) == {'node-1'}
