--- a/lycheespar/tests/control/groups.py
+++ b/lycheespar/tests/control/groups.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import fcntl
+import os
 import random
 import shutil
 from collections.abc import Callable
@@ -11,8 +14,10 @@
 from typing import Any, Final
 
 import msgspec
+import pytest
 
 from lycheespar.configuration.changes import Command, TakeOutDataCentre
+from lycheespar.control import files
 from lycheespar.control.group import Group
 from lycheespar.control.link import LinkTimeoutError
 from lycheespar.control.messages import Failure
@@ -272,3 +277,23 @@
     assert leader.group is not None
     base = (await leader.group.read()).revision
     return await leader.group.submit(command(change_id, base))
+
+
+def fill_disks(monkeypatch: pytest.MonkeyPatch, full: set[str]) -> None:
+    """Let no file grow on the disks of the named hosts."""
+
+    def write(file: int, content: bytes) -> int:
+        name = Path(os.readlink(f'/proc/self/fd/{file}')).parent.name
+        appends = fcntl.fcntl(file, fcntl.F_GETFL) & os.O_APPEND
+        room = os.fstat(file).st_size - os.lseek(file, 0, os.SEEK_CUR)
+        if name in full and (appends or len(content) > room):
+            raise OSError(errno.ENOSPC, 'full')
+        return plain_write(file, content)
+
+    plain_write = os.write
+    monkeypatch.setattr(files.os, 'write', write)
+    monkeypatch.setattr(
+        Storage,
+        'room',
+        property(lambda found: found._folder.name not in full),
+    )
