--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -49,7 +49,11 @@
 from lycheespar.routing.suspects import Designation, SuspectDispatch
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.probes import Prober
-from lycheespar.telemetry.gauges import control_gauges, node_gauges
+from lycheespar.telemetry.gauges import (
+    control_gauges,
+    message_gauges,
+    node_gauges,
+)
 from lycheespar.telemetry.parts import Telemetry
 
 if TYPE_CHECKING:
@@ -147,6 +151,9 @@
         self._readiness = self._edge.readiness(self._is_ready)
         self._serving = False
         self._target.changes.subscribe(self._publish)
+        self._telemetry.add_gauges(
+            partial(message_gauges, self._budgets, self._gossip.endpoint),
+        )
         self._telemetry.add_gauges(
             partial(
                 node_gauges,
--- a/lycheespar/routing/budget.py
+++ b/lycheespar/routing/budget.py
@@ -72,6 +72,15 @@
         self._saved_by_all = saved_by_all
         self._most_share = most_share
 
+    @property
+    def totals(self) -> tuple[int, int]:
+        """Retries and hedges paid for, and those denied, of all services."""
+        budgets = self._budgets.values()
+        return (
+            sum(budget.spent for budget in budgets),
+            sum(budget.denied for budget in budgets),
+        )
+
     def of_service(self, service: str) -> RetryBudget:
         """Return the budget of a service."""
         budget = self._budgets.get(service)
--- a/lycheespar/telemetry/gauges.py
+++ b/lycheespar/telemetry/gauges.py
@@ -14,6 +14,8 @@
 
 if TYPE_CHECKING:
     from lycheespar.control.group import Group
+    from lycheespar.membership.endpoint import Endpoint
+    from lycheespar.routing.budget import RetryBudgets
 
 # Age in seconds that is reported for a configuration never confirmed.
 LONGEST_AGE_S: Final = 86_400
@@ -35,6 +37,20 @@
     }
 
 
+def message_gauges(
+    budgets: RetryBudgets,
+    endpoint: Endpoint,
+) -> dict[str, float]:
+    """Return what a node spent on further attempts and on gossip, by name."""
+    spent, denied = budgets.totals
+    return {
+        'retries.spent': spent,
+        'retries.denied': denied,
+        'gossip.sent_bytes': endpoint.sent,
+        'gossip.received_bytes': endpoint.received,
+    }
+
+
 def node_gauges(
     executor: Executor,
     prober: Prober,
--- /dev/null
+++ b/lycheespar/tests/telemetry/gauges_tests.py
@@ -0,0 +1,28 @@
+"""Gauges of a node."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from lycheespar.errors import RequestError, TargetRefusedError
+from lycheespar.routing.budget import RetryBudgets
+from lycheespar.telemetry.gauges import message_gauges
+from lycheespar.tests.routing.fakes import FakeTargets, build_router, call
+
+
+async def test_retries_that_were_paid_for_and_denied_are_counted():
+    budgets = RetryBudgets(4, 1)
+    targets = FakeTargets(lambda *_: TargetRefusedError())
+    router = build_router(targets, budgets=budgets, retry_share=0)
+    for _ in range(3):
+        with pytest.raises(RequestError):
+            await router.dispatch(call())
+    endpoint = SimpleNamespace(sent=300, received=200)
+    assert message_gauges(budgets, endpoint) == {
+        'retries.spent': 1,
+        'retries.denied': 3,
+        'gossip.sent_bytes': 300,
+        'gossip.received_bytes': 200,
+    }
