A first start that ended early does not damage the data folder

Cause, found when reading for power losses: a control host's first start makes an empty log, then saves its identity. One that ended between the two (killed, or the disk full) was refused as damaged at each later start. Test: failed first.

--- a/lycheespar/control/storage.py
+++ b/lycheespar/control/storage.py
@@ -18,7 +18,12 @@
 from msgspec.structs import replace
 
 from lycheespar.control.entries import LogEntry
-from lycheespar.control.files import replace_file, reserve, storage_error
+from lycheespar.control.files import (
+    replace_file,
+    reserve,
+    storage_error,
+    sync_folder,
+)
 from lycheespar.control.journal import Journal
 from lycheespar.control.records import encode_record, read_records
 from lycheespar.control.state import GroupState
@@ -192,8 +197,7 @@
         """Read identity, snapshot and log."""
         identity = self._read(_IDENTITY, Identity)
         snapshot = self._read(_SNAPSHOT, GroupState)
-        fresh = not (self._folder / _LOG).exists() and snapshot is None
-        if identity is None and not fresh:
+        if identity is None and not self._is_fresh(snapshot):
             raise StorageDamagedError("'identity' is missing")
         if identity and identity.term and not (self._folder / _LOG).exists():
             raise StorageDamagedError("'log' is missing")
@@ -209,6 +213,16 @@
         if self.identity.voters_index > self.last_index:
             raise StorageDamagedError("'log' lacks entries that were synced")
 
+    def _is_fresh(self, snapshot: GroupState | None) -> bool:
+        """Whether nothing was stored yet.
+
+        The first start makes an empty log before the identity; it may end
+        between the two.
+        """
+        log_path = self._folder / _LOG
+        is_empty = not log_path.exists() or not log_path.stat().st_size
+        return is_empty and snapshot is None
+
     def _skip_covered(self) -> None:
         """Drop entries that the snapshot covers, after a crash between."""
         entries = self._journal.entries
@@ -240,9 +254,16 @@
             raise StorageDamagedError(f"'{name}': {error}") from error
 
 
+def _make(folder: Path) -> None:
+    """Create a folder and sync its name, unless it is there."""
+    if not folder.exists():
+        folder.mkdir(parents=True)
+        sync_folder(folder.parent)
+
+
 def _lock(folder: Path) -> int:
     try:
-        folder.mkdir(parents=True, exist_ok=True)
+        _make(folder)
         opened = os.open(folder / _LOCK, os.O_RDWR | os.O_CREAT, 0o600)
     except OSError as error:
         raise storage_error(error) from error
--- a/lycheespar/tests/control/storage_tests.py
+++ b/lycheespar/tests/control/storage_tests.py
@@ -208,6 +208,20 @@
     assert Storage(tmp_path).identity.vote == 'control-2'
 
 
+def test_a_first_start_may_end_before_the_identity_is_saved(
+    tmp_path, monkeypatch
+):
+    def fail(*_: object) -> None:
+        raise StorageFullError('full')
+
+    with monkeypatch.context() as patched, pytest.raises(StorageFullError):
+        patched.setattr(Storage, 'save', fail)
+        Storage(tmp_path)
+    storage = Storage(tmp_path)
+    assert storage.identity.disk
+    storage.close()
+
+
 def test_a_folder_in_use_is_refused(tmp_path):
     storage = Storage(tmp_path)
     with pytest.raises(StorageLockedError):
