--- a/lycheespar/platform/announcements.py
+++ b/lycheespar/platform/announcements.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import time
-from typing import Any, Final
+from typing import Final, Literal
 
 import msgspec
 from aiohttp import web
 from loguru import logger
 
 from lycheespar.config.options import Address, parse_address
+from lycheespar.platform.calls import is_call, reply
 from lycheespar.platform.durations import MS_PER_S, parse_s
 from lycheespar.targets.announcement import Announcement, LocalTarget
 
-CALL_PATH: Final = '/api/rpc'
 # Announcements that may be missed before a target counts as gone.
 MISSED_HEARTBEATS: Final = 4
 # Connections kept beyond the slots, for probes and replaced ones.
@@ -40,7 +40,7 @@
         Time for which it stays cold.
     """
 
-    state: str
+    state: Literal['ready', 'draining']
     sequence: int
     cold_remaining: str = '0ms'
 
@@ -61,7 +61,6 @@
 
 
 _decoder = msgspec.json.Decoder(_Heartbeat)
-_PHASES: Final[dict[str, Any]] = {'ready': 'ready', 'draining': 'draining'}
 
 
 class _Departure(msgspec.Struct):
@@ -145,8 +144,8 @@
         await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
-        if (request.method, request.path) != ('POST', CALL_PATH):
-            return _reply(404, 'there is no such call')
+        if not is_call(request):
+            return reply(404, 'there is no such call')
         target = request.query.get('of', '')
         body = await request.read()
         match request.query.get('call'):
@@ -155,20 +154,20 @@
             case 'instances.deregister':
                 return self._leave(target, body)
             case _:
-                return _reply(404, 'there is no such call')
+                return reply(404, 'there is no such call')
 
     def _take(self, target: str, body: bytes) -> web.Response:
         try:
             heartbeat = _decoder.decode(body)
             announced = self._announcement(target, heartbeat)
-        except (ValueError, KeyError) as error:
+        except ValueError as error:
             log.warning("A heartbeat of '{}' is invalid: {}.", target, error)
-            return _reply(400, str(error))
+            return reply(400, str(error))
         if self._is_news(target, heartbeat.born, heartbeat.status.sequence):
             self._target.announce(announced)
         else:
             log.info("A heartbeat of '{}' comes late.", target)
-        return _reply(200)
+        return reply(200)
 
     def _announcement(
         self,
@@ -189,7 +188,6 @@
             raise ValueError(f"'{info.service}' does not run here")
         parse_address(heartbeat.address)
         cold_s = parse_s(status.cold_remaining)
-        phase = _PHASES[status.state]
         return Announcement(
             target=target,
             team='',
@@ -197,7 +195,9 @@
             address=heartbeat.address,
             slots=info.slots,
             connections=info.slots + SPARE_CONNECTIONS,
-            phase='cold' if phase == 'ready' and cold_s else phase,
+            phase='cold'
+            if status.state == 'ready' and cold_s
+            else status.state,
             incarnation=str(heartbeat.born),
             lease_s=self._lease_s,
             cold_s=cold_s,
@@ -230,7 +230,7 @@
         if current is not None and current.target == target:
             self._target.leave()
         log.info("Target '{}' leaves.", target)
-        return _reply(200)
+        return reply(200)
 
 
 def _born(body: bytes) -> int:
@@ -244,8 +244,3 @@
 
 def _now_ms() -> int:
     return int(time.time() * MS_PER_S)
-
-
-def _reply(status: int, problem: str = '') -> web.Response:
-    body = {'error': problem} if problem else {}
-    return web.json_response(body, status=status)
--- a/lycheespar/platform/operators.py
+++ b/lycheespar/platform/operators.py
@@ -23,10 +23,10 @@
     ControlError,
     RequestInvalidError,
 )
+from lycheespar.platform.calls import is_call, reply
 from lycheespar.platform.documents import patch_from, plan_body, put_from
 from lycheespar.telemetry.events import OrderEnded, events
 
-CALL_PATH: Final = '/api/rpc'
 # Largest body of an order in bytes: some ten thousand routes.
 MAX_ORDER_BYTES: Final = 32 * 1024 * 1024
 OPERATOR: Final = 'platform'
@@ -58,15 +58,15 @@
         await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
-        if (request.method, request.path) != ('POST', CALL_PATH):
-            return _reply(404, 'there is no such call')
+        if not is_call(request):
+            return reply(404, 'there is no such call')
         call = request.query.get('call', '')
         try:
             return await self._answer(request, call)
         except ControlError as error:
             status = _status_of(error)
             events.write(OrderEnded(call, status, error.detail, 0))
-            return _reply(status, error.detail)
+            return reply(status, error.detail)
 
     async def _answer(
         self,
@@ -91,7 +91,7 @@
         )
         revision = await self._group.submit(command)
         events.write(OrderEnded(call, 200, '', revision))
-        return _reply(200)
+        return reply(200)
 
 
 def _change(call: str, subject: str, body: bytes) -> Change:
@@ -140,8 +140,3 @@
             return 404
         case _:
             return 503
-
-
-def _reply(status: int, problem: str = '') -> web.Response:
-    body = {'error': problem} if problem else {}
-    return web.json_response(body, status=status)
