--- a/lycheespar/tests/control/faults.py
+++ b/lycheespar/tests/control/faults.py
@@ -44,6 +44,7 @@
             self.isolate,
             self.isolate_leader,
             self.cut_one_way,
+            self.cut_in_two,
             self.lose_disk,
             *((self.replace,) if self._replacing else ()),
             *((self.fill_disk,) if self._full is not None else ()),
@@ -91,6 +92,17 @@
         other = self._choose.choice(self._hosts.others(host))
         self._hosts.network.cuts.add((host.name, other))
 
+    async def cut_in_two(self) -> None:
+        """Cut some hosts off from the rest; each part stays whole."""
+        names = [host.name for host in self._hosts.all]
+        part = set(self._choose.sample(names, len(names) // 2))
+        self._hosts.network.cuts |= {
+            (one, other)
+            for one in names
+            for other in names
+            if (one in part) != (other in part)
+        }
+
     async def lose_disk(self) -> None:
         """Lose a disk while all vote; lose the next one after the repair."""
         self._heal()
