A target whose port closes after its connections has crashed too

Logs: the look at the target's port right after its connection broke still found it open, as a process that ends closes its port later, so that the crash was known only a second and a third crash later. In one run the test itself was wrong: it counted a request that met a target not back yet as a crash. Ruled out: slow spread of the fact (the nodes told it at once when they knew). Change: the port is looked at four times within 0.42 s. The test asks until all nodes refuse, in the same pace, with the same bound on crashes.

--- a/lycheespar/admission/crash_guard.py
+++ b/lycheespar/admission/crash_guard.py
@@ -24,6 +24,10 @@
 # a new start of the target shows that it has crashed.
 CONFIRM_S: Final = 5
 CONNECT_TIMEOUT_S: Final = 1
+# Pauses in seconds before each look at the port of a target that lost a
+# connection: a process that ends closes its connections before its port, by
+# milliseconds on an idle host and by tenths of a second on a busy one.
+LOOK_AFTER_S: Final = (0, 0.02, 0.1, 0.3)
 # Time in seconds for which other calls wait while a suspect runs alone.
 EXCLUSION_S: Final = 0.25
 # Time in seconds for which a suspect waits until nothing else runs.
@@ -199,19 +203,28 @@
         self._spawn(self._probe())
 
     async def _probe(self) -> None:
+        """Look a few times whether the target takes connections."""
+        for pause_s in LOOK_AFTER_S:
+            await asyncio.sleep(pause_s)
+            if self._doubtful is None:
+                return
+            if await self._refuses():
+                self._confirm()
+                return
+
+    async def _refuses(self) -> bool:
         """Connect once: a target that has crashed refuses."""
         current = self._target.current
         if current is None:
-            self._confirm()
-            return
+            return True
         host, _, port = current.address.rpartition(':')
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(host, int(port))
         except OSError:
-            self._confirm()
-        else:
-            writer.close()
+            return True
+        writer.close()
+        return False
 
     def _follow(self, announcement: Announcement | None) -> None:
         """Take a lapsed lease or a new start of the target as a sign."""
--- a/lycheespar/tests/admission/crash_guard_tests.py
+++ b/lycheespar/tests/admission/crash_guard_tests.py
@@ -109,6 +109,17 @@
     server.close()
 
 
+async def test_a_port_that_closes_after_its_connections_is_a_crash(site):
+    server = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    site.local.announce(
+        Announcement('t', 'a', 'b', f'127.0.0.1:{port}', incarnation='1'),
+    )
+    asyncio.get_running_loop().call_later(0.05, server.close)
+    await site.crash('/a')
+    assert site.verdict('/a') is Verdict.suspect
+
+
 async def test_a_suspect_runs_alone_and_is_cleared(site):
     await site.crash('/a', '/b')
     beside = await site.start('/c')
--- a/lycheespar/tests/whole/crash_tests.py
+++ b/lycheespar/tests/whole/crash_tests.py
@@ -10,7 +10,7 @@
 import pytest
 
 from lycheespar.tests.whole.service import HOST, configure
-from standins.cluster import Cluster, answers, wait_until
+from standins.cluster import Cluster, NodePlan, answers, wait_until
 
 CRASHING = '/chapter?crash=1'
 CODE = 'X-Lycheespar-Code'
@@ -53,6 +53,18 @@
         return response.status, response.headers.get(CODE, '')
 
 
+async def _all_refuse(
+    session: aiohttp.ClientSession,
+    nodes: tuple[NodePlan, ...],
+) -> bool:
+    """Send the request to each node in turn, in the pace of the spread."""
+    found = []
+    for node in nodes:
+        found.append(await _get(session, f'{node.url}{CRASHING}'))
+        await asyncio.sleep(SPREAD_S)
+    return set(found) == {(503, 'crash_suspect')}
+
+
 async def test_a_crashing_request_is_refused_everywhere(cluster):
     supervisor = _Supervisor(cluster)
     async with aiohttp.ClientSession() as session:
@@ -62,9 +74,8 @@
             await wait_until(partial(answers, session, url, HOST))
         watching = asyncio.create_task(supervisor.run())
         nodes = tuple(cluster.nodes.values())
-        for node in nodes:
-            await _get(session, f'{node.url}{CRASHING}')
-            await asyncio.sleep(SPREAD_S)
+        # A target that is not back yet is no crash: the request has not run.
+        await wait_until(partial(_all_refuse, session, nodes))
         for node in nodes:
             found = await _get(session, f'{node.url}{CRASHING}')
             assert found == (503, 'crash_suspect')
