--- a/lycheespar/platform/settings.py
+++ b/lycheespar/platform/settings.py
@@ -174,7 +174,7 @@
             # Only nodes in touch with the control hosts are bound by changes
             # in time; the others serve what they know.
             'serve_stale': True,
-            'most_retry_share': platform.retry_share * SPENT_SHARE,
+            'most_retry_share': min(platform.retry_share * SPENT_SHARE, 1),
             'saved_retries': max(platform.spare_retries * SAVED_SHARE, 1),
             'drain_s': platform.grace_s * STOP_SHARE,
             'drain_spread_s': platform.grace_s * SPREAD_SHARE,
--- a/lycheespar/tests/platform/settings_tests.py
+++ b/lycheespar/tests/platform/settings_tests.py
@@ -120,3 +120,9 @@
     with pytest.raises(SettingsError) as caught:
         _load(tmp_path, terms={'bounds': bounds})
     assert len(caught.value.problems) == 2
+
+
+def test_a_generous_bound_of_retries_is_no_more_than_one_for_each(tmp_path):
+    bounds = {'retry_budget_ratio': 3}
+    settings = node_settings(_load(tmp_path, terms={'bounds': bounds}))
+    assert settings.most_retry_share == 1
