--- a/lycheespar/tests/control/groups.py
+++ b/lycheespar/tests/control/groups.py
@@ -18,12 +18,14 @@
 
 from lycheespar.configuration.changes import Command, TakeOutDataCentre
 from lycheespar.control import files
+from lycheespar.control.entries import FormGroup, LogEntry, Proposal
 from lycheespar.control.group import Group
 from lycheespar.control.link import LinkTimeoutError
 from lycheespar.control.messages import Failure
 from lycheespar.control.peer_messages import PeerReply, PeerRequest
 from lycheespar.control.peers import Timing
 from lycheespar.control.replica import Replica
+from lycheespar.control.state import GroupState
 from lycheespar.control.storage import Storage
 from lycheespar.errors import ControlError
 
@@ -297,3 +299,18 @@
         'room',
         property(lambda found: found._folder.name not in full),
     )
+
+
+def log_entry(index: int) -> LogEntry:
+    """Return an entry of a log whose first one forms the group."""
+    if index == 1:
+        return LogEntry(1, 1, FormGroup('group', {'control-0': 'disk'}))
+    return LogEntry(index, 1, Proposal(command(str(index), index - 2)))
+
+
+def state_at(index: int) -> GroupState:
+    """Return the state after the entries of that log up to an index."""
+    state = GroupState()
+    for position in range(1, index + 1):
+        state.apply(log_entry(position))
+    return state
--- a/lycheespar/tests/control/power_tests.py
+++ b/lycheespar/tests/control/power_tests.py
@@ -11,10 +11,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lycheespar.control.entries import FormGroup, LogEntry, Proposal
-from lycheespar.control.state import GroupState
 from lycheespar.control.storage import Storage
-from lycheespar.tests.control.groups import command
+from lycheespar.tests.control.groups import log_entry, state_at
 from lycheespar.tests.control.power import Disk, PowerCutError
 
 ENDLESS: Final = 10**9
@@ -29,12 +27,6 @@
 )
 
 
-def _entry(index: int) -> LogEntry:
-    if index == 1:
-        return LogEntry(1, 1, FormGroup('group', {'control-0': 'disk'}))
-    return LogEntry(index, 1, Proposal(command(str(index), index - 2)))
-
-
 class _Host:
     """A storage and what it has acknowledged.
 
@@ -80,7 +72,7 @@
         match step:
             case 'append':
                 self.highest = last + 2
-                storage.append([_entry(last + 1), _entry(last + 2)])
+                storage.append([log_entry(last + 1), log_entry(last + 2)])
             case 'vote':
                 self.terms.add(storage.identity.term + 1)
                 storage.vote(storage.identity.term + 1, 'control-0')
@@ -88,7 +80,7 @@
                 self.lowest = last - 1
                 storage.truncate(last)
             case 'compact' if last > storage.base_index:
-                storage.compact(_state(last))
+                storage.compact(state_at(last))
             case 'restart':
                 self.stop()
                 self.start()
@@ -101,13 +93,6 @@
         self.disks = {self._storage.identity.disk}
 
 
-def _state(index: int) -> GroupState:
-    state = GroupState()
-    for position in range(1, index + 1):
-        state.apply(_entry(position))
-    return state
-
-
 @settings(max_examples=150, deadline=None, derandomize=True)
 @given(STEPS, CUTS)
 def test_what_was_acknowledged_outlasts_power_cuts_anywhere(steps, cuts):
--- a/lycheespar/tests/control/storage_tests.py
+++ b/lycheespar/tests/control/storage_tests.py
@@ -14,10 +14,8 @@
 from hypothesis import strategies as st
 
 from lycheespar.control import files
-from lycheespar.control.entries import FormGroup, LogEntry, Proposal
 from lycheespar.control.records import read_records
 from lycheespar.control.replica import Replica
-from lycheespar.control.state import GroupState
 from lycheespar.control.storage import Storage
 from lycheespar.errors import (
     StorageDamagedError,
@@ -25,20 +23,14 @@
     StorageFullError,
     StorageLockedError,
 )
-from lycheespar.tests.control.groups import command
-
-
-def _entry(index: int) -> LogEntry:
-    if index == 1:
-        return LogEntry(1, 1, FormGroup('group', {'control-0': 'disk'}))
-    return LogEntry(index, 1, Proposal(command(str(index), index - 2)))
+from lycheespar.tests.control.groups import log_entry, state_at
 
 
 def _fill(folder: Path, count: int) -> None:
     storage = Storage(folder)
     storage.vote(1, 'control-0')
     for index in range(1, count + 1):
-        storage.append([_entry(index)])
+        storage.append([log_entry(index)])
     storage.close()
 
 
@@ -48,13 +40,6 @@
     return [entry.index for entry in storage.entries(storage.base_index + 1)]
 
 
-def _state(index: int) -> GroupState:
-    state = GroupState()
-    for position in range(1, index + 1):
-        state.apply(_entry(position))
-    return state
-
-
 @cache
 def _written(count: int) -> dict[str, bytes]:
     """Return the files of a log of six entries, some in a snapshot."""
@@ -62,7 +47,7 @@
         folder = Path(root)
         _fill(folder, 6)
         storage = Storage(folder)
-        storage.compact(_state(count))
+        storage.compact(state_at(count))
         storage.close()
         names = ('identity', 'snapshot', 'log')
         return {name: (folder / name).read_bytes() for name in names}
@@ -123,11 +108,11 @@
             match step:
                 case 'append':
                     added = range(last + 1, last + 1 + number)
-                    storage.append([_entry(index) for index in added])
+                    storage.append([log_entry(index) for index in added])
                     last += number
                 case 'compact' if last > base:
                     base += 1 + number % (last - base)
-                    storage.compact(_state(base))
+                    storage.compact(state_at(base))
                 case 'truncate' if last > base:
                     first = base + 1 + number % (last - base)
                     storage.truncate(first)
@@ -146,7 +131,7 @@
     _fill(tmp_path, 6)
     before = (tmp_path / 'log').read_bytes()
     storage = Storage(tmp_path)
-    storage.compact(_state(4))
+    storage.compact(state_at(4))
     storage.close()
     (tmp_path / 'log').write_bytes(before)
     assert _indexes(tmp_path) == [5, 6]
@@ -166,9 +151,9 @@
     with monkeypatch.context() as patched:
         patched.setattr(files.os, 'write', write_less)
         with pytest.raises(StorageFullError):
-            storage.append([_entry(4)])
+            storage.append([log_entry(4)])
     assert storage.last_index == 3
-    storage.append([_entry(4)])
+    storage.append([log_entry(4)])
     storage.close()
     assert _indexes(tmp_path) == [1, 2, 3, 4]
 
@@ -182,9 +167,9 @@
     with monkeypatch.context() as patched:
         patched.setattr(files.os, 'fsync', fail)
         with pytest.raises(StorageError):
-            storage.append([_entry(1)])
+            storage.append([log_entry(1)])
     with pytest.raises(StorageError):
-        storage.append([_entry(1)])
+        storage.append([log_entry(1)])
     storage.close()
 
 
@@ -248,7 +233,7 @@
     storage = Storage(tmp_path)
     replica = Replica('control-0', storage, 200)
     for index in range(1, changes + 2):
-        replica.append([_entry(index)])
+        replica.append([log_entry(index)])
         replica.commit(index)
     storage.close()
     size = sum(path.stat().st_size for path in tmp_path.iterdir())
