Telemetry: events on detected crashes, verdicts on suspects, dropped broadcasts

The logs could not tell the three hypotheses of the incident apart: whether a crash was confirmed and reported (target_crashed, crash_unconfirmed, broadcast_dropped), which requests each node blames for it (crash_learned, suspect_cleared), and why a request was isolated or refused (crash_verdict with the number of crashes and the most that another request shares). No decision changes.

--- a/lycheespar/admission/crash_guard.py
+++ b/lycheespar/admission/crash_guard.py
@@ -6,8 +6,6 @@
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Final
 
-from loguru import logger
-
 from lycheespar.admission.suspects import SuspectTable, Verdict
 from lycheespar.call import Answer, Call, Execution
 from lycheespar.errors import (
@@ -19,6 +17,11 @@
 )
 from lycheespar.streams import GuardedStream, close_stream
 from lycheespar.targets.announcement import Announcement, LocalTarget
+from lycheespar.telemetry.events import (
+    CrashUnconfirmed,
+    TargetCrashed,
+    events,
+)
 
 # Time in seconds after a lost connection within which a refused connection or
 # a restart of the target confirms that it has crashed.
@@ -35,8 +38,6 @@
 # Retry-after time in seconds of calls refused because of a suspect.
 RETRY_AFTER_S: Final = 0.2
 
-log = logger.bind(part='admission')
-
 
 class CrashGuard:
     """Runs calls at the local target; a suspect runs without other calls.
@@ -174,7 +175,7 @@
             self._finish(call)
             raise
         except TargetUnavailableError:
-            self._confirm_crash()
+            self._confirm_crash('refused')
             self._finish(call)
             raise
         except BaseException:
@@ -221,8 +222,14 @@
             if self._incident is None:
                 return
             if await self._refuses_connection():
-                self._confirm_crash()
+                self._confirm_crash('refused')
                 return
+        if self._incident is not None:
+            events.write(
+                CrashUnconfirmed(
+                    self._incident.target, len(self._incident.fingerprints)
+                ),
+            )
 
     async def _refuses_connection(self) -> bool:
         """Whether the target refuses a connection, as it does after a crash."""
@@ -242,17 +249,21 @@
         """Confirm a crash if the lease has lapsed or the target restarted."""
         incident = self._incident
         if incident is not None and incident.has_target_changed(announcement):
-            self._confirm_crash()
+            self._confirm_crash('gone' if announcement is None else 'restarted')
 
-    def _confirm_crash(self) -> None:
+    def _confirm_crash(self, evidence: str) -> None:
         """Report a crash to all nodes, once per incident."""
         incident, self._incident = self._incident, None
         now = asyncio.get_running_loop().time()
         if incident is None or now - incident.at >= CONFIRMATION_WINDOW_S:
             return
-        log.warning(
-            'The target has crashed; {} request fingerprints are suspects.',
-            len(incident.fingerprints),
+        events.write(
+            TargetCrashed(
+                incident.target,
+                evidence,
+                now - incident.at,
+                tuple(found.hex() for found in incident.fingerprints),
+            ),
         )
         self._suspects.report(incident.fingerprints)
 
@@ -305,6 +316,11 @@
         self.fingerprints = fingerprints
         self._announcement = announcement
 
+    @property
+    def target(self) -> str:
+        """Identity of the target; empty if none was announced."""
+        return '' if self._announcement is None else self._announcement.target
+
     def has_target_changed(self, announcement: Announcement | None) -> bool:
         """Whether the lease has lapsed or the target restarted since then."""
         known = self._announcement
--- a/lycheespar/admission/suspects.py
+++ b/lycheespar/admission/suspects.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from lycheespar.membership.broadcast import Broadcast, BroadcastTable
+from lycheespar.telemetry.events import CrashLearned, SuspectCleared, events
 
 # Time in seconds after a crash for which a convicted fingerprint is refused.
 CONVICTION_S: Final = 60
@@ -43,6 +44,24 @@
     convicted = 'convicted'
 
 
+class Evidence(msgspec.Struct, frozen=True):
+    """What is known about the crashes of a fingerprint.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        How requests with the fingerprint are handled.
+    crashes : int
+        Crashes of the fingerprint that it is not cleared of.
+    most_shared : int
+        Most of these crashes that another fingerprint was in as well.
+    """
+
+    verdict: Verdict
+    crashes: int = 0
+    most_shared: int = 0
+
+
 class _Crash(msgspec.Struct):
     """One crash of a target."""
 
@@ -77,20 +96,31 @@
 
     def verdict(self, fingerprint: bytes) -> Verdict:
         """Return how requests with a fingerprint are to be handled now."""
+        return self.evidence(fingerprint).verdict
+
+    def evidence(self, fingerprint: bytes) -> Evidence:
+        """Return the verdict on a fingerprint and the crashes behind it."""
         if not self._crashes:
-            return Verdict.clear
+            return Evidence(Verdict.clear)
         self._expire()
         crashes = self._crashes_of(fingerprint)
         if not crashes:
-            return Verdict.clear
-        if len(crashes) < CRASH_LIMIT or self._is_trial_due(crashes):
-            return Verdict.suspect
+            return Evidence(Verdict.clear)
         counts = Counter(
             found for crash in crashes for found in crash.fingerprints
         )
         counts.pop(fingerprint)
-        ambiguous = max(counts.values(), default=0) >= CRASH_LIMIT
-        return Verdict.suspect if ambiguous else Verdict.convicted
+        most_shared = max(counts.values(), default=0)
+        undecided = (
+            len(crashes) < CRASH_LIMIT
+            or most_shared >= CRASH_LIMIT
+            or self._is_trial_due(crashes)
+        )
+        return Evidence(
+            Verdict.suspect if undecided else Verdict.convicted,
+            len(crashes),
+            most_shared,
+        )
 
     def retry_after_s(self, fingerprint: bytes) -> float:
         """Return the time in seconds until a convicted request may be tried."""
@@ -134,13 +164,20 @@
                     self._clock() - CRASH_RETENTION_S + broadcast.ttl_s,
                 )
             case 'crash_cleared':
-                for crash_id in _split(broadcast.content, _ID_BYTES):
+                crash_ids = _split(broadcast.content, _ID_BYTES)
+                for crash_id in crash_ids:
                     cleared = self._cleared.setdefault(crash_id, set())
                     cleared.add(broadcast.key)
+                events.write(
+                    SuspectCleared(broadcast.key.hex(), _hex(crash_ids)),
+                )
 
     def _add_crash(self, crash_id: bytes, found: set[bytes], at: float) -> None:
         crash = self._crashes.setdefault(crash_id, _Crash(at, set()))
         crash.fingerprints |= found
+        events.write(
+            CrashLearned(crash_id.hex(), self._clock() - at, _hex(found)),
+        )
 
     def _crashes_of(self, fingerprint: bytes) -> list[_Crash]:
         """Return the crashes of a fingerprint from which it is not cleared.
@@ -175,3 +212,7 @@
 def _split(content: bytes, size: int) -> list[bytes]:
     starts = range(0, len(content), size)
     return [content[start : start + size] for start in starts]
+
+
+def _hex(parts: Iterable[bytes]) -> tuple[str, ...]:
+    return tuple(part.hex() for part in parts)
--- a/lycheespar/membership/broadcast.py
+++ b/lycheespar/membership/broadcast.py
@@ -10,6 +10,8 @@
 from reactivex import Observable
 from reactivex.subject import Subject
 
+from lycheespar.telemetry.events import BroadcastDropped, events
+
 MAX_BROADCASTS: Final = 256
 # Maximum time to live of a broadcast, in seconds.
 MAX_TTL_S: Final = 3600
@@ -121,7 +123,9 @@
         )
 
     def _store(self, broadcast: Broadcast) -> bool:
-        if not _is_valid(broadcast):
+        invalid = _defect(broadcast)
+        if invalid:
+            self._write_dropped(broadcast, invalid)
             return False
         now = self._clock()
         key = (broadcast.topic, broadcast.key)
@@ -129,6 +133,7 @@
         if len(self._broadcasts) >= MAX_BROADCASTS:
             self._drop_expired(now)
         if len(self._broadcasts) >= MAX_BROADCASTS and known is None:
+            self._write_dropped(broadcast, 'full')
             return False
         self._broadcasts[key] = (
             broadcast,
@@ -137,6 +142,11 @@
         self._subject.on_next(broadcast)
         return True
 
+    def _write_dropped(self, broadcast: Broadcast, reason: str) -> None:
+        events.write(
+            BroadcastDropped(broadcast.topic, reason, len(self._broadcasts)),
+        )
+
     def _drop_expired(self, now: float) -> None:
         self._broadcasts = {
             key: (broadcast, expires_at)
@@ -145,6 +155,9 @@
         }
 
 
-def _is_valid(broadcast: Broadcast) -> bool:
+def _defect(broadcast: Broadcast) -> str:
+    """Return why a broadcast cannot be stored; empty if it can."""
+    if broadcast.ttl_s <= 0:
+        return 'expired'
     size = len(broadcast.topic) + len(broadcast.key) + len(broadcast.content)
-    return broadcast.ttl_s > 0 and size <= MAX_BROADCAST_BYTES
+    return 'too large' if size > MAX_BROADCAST_BYTES else ''
--- a/lycheespar/routing/suspects.py
+++ b/lycheespar/routing/suspects.py
@@ -8,7 +8,7 @@
 
 import hashlib
 
-from lycheespar.admission.suspects import SuspectTable, Verdict
+from lycheespar.admission.suspects import Evidence, SuspectTable, Verdict
 from lycheespar.call import Answer, Call, Dispatch, Execution
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import (
@@ -20,6 +20,7 @@
 from lycheespar.membership.records import MemberRecord
 from lycheespar.membership.view import MembershipView
 from lycheespar.routing.pool import ChannelPool
+from lycheespar.telemetry.events import SuspectHandled, events
 
 # Value in seconds of ``Retry-After`` when no target is available.
 RETRY_AFTER_S = 1
@@ -119,18 +120,23 @@
             No target returned an answer.
         """
         fingerprint = call.fingerprint
-        match self._suspects.verdict(fingerprint):
+        evidence = self._suspects.evidence(fingerprint)
+        match evidence.verdict:
             case Verdict.clear:
                 return await self._dispatch.dispatch(call)
             case Verdict.suspect:
-                return await self._run_designated(call)
+                record = self._placement.choose(call.service, fingerprint)
+                _write_verdict(call, evidence, record)
+                return await self._run_designated(call, record)
             case Verdict.convicted:
+                _write_verdict(call, evidence, None)
                 raise CrashSuspectError(
                     retry_after_s=self._suspects.retry_after_s(fingerprint),
                 )
 
-    async def _run_designated(self, call: Call) -> Answer:
-        record = self._placement.choose(call.service, call.fingerprint)
+    async def _run_designated(
+        self, call: Call, record: MemberRecord | None
+    ) -> Answer:
         if record is None:
             raise NoTargetError(call.service, RETRY_AFTER_S)
         if self._placement.runs_here(call.service, call.fingerprint):
@@ -141,6 +147,21 @@
             raise TargetUnavailableError(error.detail) from error
 
 
+def _write_verdict(
+    call: Call, evidence: Evidence, record: MemberRecord | None
+) -> None:
+    events.write(
+        SuspectHandled(
+            call.request_id,
+            call.fingerprint.hex(),
+            evidence.verdict.value,
+            evidence.crashes,
+            evidence.most_shared,
+            '' if record is None else record.node,
+        ),
+    )
+
+
 def _rendezvous_rank(record: MemberRecord, fingerprint: bytes) -> bytes:
     content = fingerprint + record.node.encode()
     return hashlib.blake2b(content, digest_size=8).digest()
