Tests: a request that crashes targets without company is convicted (known red)

Both levels fail on the current code: the table of crashes, and the guard of a node. They show hypothesis 1 of docs/incidents/crash-in-company.md.

--- a/lycheespar/tests/admission/crash_guard_tests.py
+++ b/lycheespar/tests/admission/crash_guard_tests.py
@@ -45,6 +45,11 @@
             ended.set_exception(TargetLostError())
 
 
+def fingerprint(path: str) -> bytes:
+    """Return a fingerprint for a path of at most 16 characters."""
+    return path.encode().ljust(16)
+
+
 class _Node:
     """Crash guard of a node with its target and its suspects."""
 
@@ -65,13 +70,13 @@
         tasks = []
         for path in paths:
             call = new_call(path)
-            call.fingerprint = path.encode().ljust(16)
+            call.fingerprint = fingerprint(path)
             tasks.append(asyncio.create_task(self.guard.execute(call)))
         await asyncio.sleep(0.01)
         return tasks
 
     def verdict(self, path: str) -> Verdict:
-        return self.suspects.verdict(path.encode().ljust(16))
+        return self.suspects.verdict(fingerprint(path))
 
     async def crash(self, *paths: str) -> None:
         """Start calls and crash the target while they run."""
@@ -174,6 +179,22 @@
     await node.crash('/a', '/b')
     await node.crash('/a')
     (refused,) = await node.start('/a')
+    assert not node.target.running
+    with pytest.raises(CrashSuspectError):
+        await refused
+    (harmless,) = await node.start('/b')
+    node.target.end('/b')
+    await harmless
+
+
+async def test_a_request_that_crashes_alone_is_refused_despite_former_company(
+    node,
+):
+    for _ in range(2):
+        node.suspects.report([fingerprint('/a'), fingerprint('/b')])
+    await node.crash('/a')
+    (refused,) = await node.start('/a')
+    assert not node.target.running
     with pytest.raises(CrashSuspectError):
         await refused
     (harmless,) = await node.start('/b')
--- a/lycheespar/tests/admission/suspects_tests.py
+++ b/lycheespar/tests/admission/suspects_tests.py
@@ -53,6 +53,15 @@
     assert table.verdict(HARMLESS) is Verdict.suspect
 
 
+@pytest.mark.parametrize('last', [(), (UNRELATED,)])
+def test_a_crash_without_its_company_convicts_a_request(table, last):
+    table.report([CRASHING, HARMLESS])
+    table.report([CRASHING, HARMLESS])
+    table.report([CRASHING, *last])
+    assert table.verdict(CRASHING) is Verdict.convicted
+    assert table.verdict(HARMLESS) is Verdict.suspect
+
+
 def test_clearing_one_of_two_suspects_convicts_the_other(table):
     table.report([CRASHING, HARMLESS])
     table.report([CRASHING, HARMLESS])
