Suspects: what ends its targets alone is convicted, whatever its former company

Callers saw: a request under which three targets of a service had ended went on to end four more, at one node, every 3.5 s; a quarter of the service was away for 15 s. Cause: a fingerprint was convicted only if no other was in two of its crashes. Requests that run beside the crashing one are sent again together with it, so that company in two crashes is usual when several targets end at once. Unless that company is sent again and answered, it kept the crashing request a mere suspect for good; further crashes without company did not count. Evidence: in the record all four later runs went to the designated node of a suspect, 0.1 s to 0.4 s after the target's start. Three tests that failed before reproduce it, at the table and at the guard. Now a fingerprint is convicted if no other was in all of its crashes: one crash without the company decides, as it can only be the request's own.

--- a/lycheespar/admission/suspects.py
+++ b/lycheespar/admission/suspects.py
@@ -2,8 +2,8 @@
 
 Each crash is broadcast to all nodes with the fingerprints of the requests that
 were running at the target. A fingerprint in one crash is a suspect. It is
-convicted if it was in two crashes and no other fingerprint was in two of them.
-A successful run clears a suspect.
+convicted if it was in at least two crashes and no other fingerprint was in all
+of them. A successful run clears a suspect.
 """
 
 from __future__ import annotations
@@ -113,7 +113,7 @@
         most_shared = max(counts.values(), default=0)
         undecided = (
             len(crashes) < CRASH_LIMIT
-            or most_shared >= CRASH_LIMIT
+            or most_shared == len(crashes)
             or self._is_trial_due(crashes)
         )
         return Evidence(
