Crash guard: each crash is reported once, with the requests that it ended

Callers would see: a request refused for 60 s though it crashed nothing, or a crashing one that goes on. Cause, found when looking for other evidence that is attributed wrongly: an incident was not tied to its calls. A connection that broke after its crash was confirmed began a second crash, so that one crash convicted whoever broke last; and an answer broken off without a crash kept the place of the incident for 5 s, so that a crash in that time was not probed for and was put down to the earlier calls. Evidence: both tests failed before. Now an incident explains the loss of the calls that had started when it began, until its probes have found the target listening; any other loss begins an incident of its own.

--- a/lycheespar/admission/crash_guard.py
+++ b/lycheespar/admission/crash_guard.py
@@ -171,7 +171,7 @@
         try:
             answer = await self._execution.execute(call)
         except (TargetLostError, TruncatedAnswerError):
-            self._begin_incident()
+            self._begin_incident(call)
             self._finish(call)
             raise
         except TargetUnavailableError:
@@ -185,7 +185,7 @@
             self._finish(call)
         else:
             answer.body = GuardedStream(
-                _MonitoredBody(answer.body, self._begin_incident),
+                _MonitoredBody(answer.body, lambda: self._begin_incident(call)),
                 lambda _: self._finish(call),
             )
         return answer
@@ -199,36 +199,40 @@
         async with self._state_changed:
             self._state_changed.notify_all()
 
-    def _begin_incident(self) -> None:
-        """Start checking for a crash, as a connection to the target broke.
+    def _begin_incident(self, call: Call) -> None:
+        """Start checking for a crash, as the connection of a call broke.
 
         The started calls are recorded: if a crash is confirmed, they become
         suspects.
         """
-        now = asyncio.get_running_loop().time()
         known = self._incident
-        if known is not None and now - known.at < CONFIRMATION_WINDOW_S:
+        if known is not None and known.explains_loss_of(call):
             return
-        started = {
-            call.fingerprint for call in self._running.values() if call.started
-        }
-        self._incident = _Incident(now, started, self._target.current)
-        self._spawn(self._probe_port())
+        incident = _Incident(
+            asyncio.get_running_loop().time(),
+            {
+                call_id: running.fingerprint
+                for call_id, running in self._running.items()
+                if running.started
+            },
+            self._target.current,
+        )
+        self._incident = incident
+        self._spawn(self._probe_port(incident))
 
-    async def _probe_port(self) -> None:
+    async def _probe_port(self, incident: _Incident) -> None:
         """Check several times whether the target refuses connections."""
         for delay_s in PROBE_DELAYS_S:
             await asyncio.sleep(delay_s)
-            if self._incident is None:
+            if incident is not self._incident or incident.confirmed:
                 return
             if await self._refuses_connection():
                 self._confirm_crash('refused')
                 return
-        if self._incident is not None:
+        if incident is self._incident and not incident.confirmed:
+            incident.probed = True
             events.write(
-                CrashUnconfirmed(
-                    self._incident.target, len(self._incident.fingerprints)
-                ),
+                CrashUnconfirmed(incident.target, len(incident.calls)),
             )
 
     async def _refuses_connection(self) -> bool:
@@ -253,19 +257,23 @@
 
     def _confirm_crash(self, evidence: str) -> None:
         """Report a crash to all nodes, once per incident."""
-        incident, self._incident = self._incident, None
-        now = asyncio.get_running_loop().time()
-        if incident is None or now - incident.at >= CONFIRMATION_WINDOW_S:
+        incident = self._incident
+        if incident is None or incident.confirmed:
+            return
+        elapsed_s = asyncio.get_running_loop().time() - incident.at
+        if elapsed_s >= CONFIRMATION_WINDOW_S:
             return
+        incident.confirmed = True
+        fingerprints = set(incident.calls.values())
         events.write(
             TargetCrashed(
                 incident.target,
                 evidence,
-                now - incident.at,
-                tuple(found.hex() for found in incident.fingerprints),
+                elapsed_s,
+                tuple(found.hex() for found in fingerprints),
             ),
         )
-        self._suspects.report(incident.fingerprints)
+        self._suspects.report(fingerprints)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
@@ -302,18 +310,32 @@
 
 
 class _Incident:
-    """Loss of a connection to the target, which may have crashed."""
+    """Loss of a connection to the target, which may have crashed.
 
-    __slots__ = ('_announcement', 'at', 'fingerprints')
+    Attributes
+    ----------
+    at : float
+        Instant of the event loop's clock in seconds.
+    calls : dict[bytes, bytes]
+        Calls that had started at the target, with their fingerprints.
+    confirmed : bool
+        Whether the target has crashed.
+    probed : bool
+        Whether the target still accepted connections after the last probe.
+    """
+
+    __slots__ = ('_announcement', 'at', 'calls', 'confirmed', 'probed')
 
     def __init__(
         self,
         at: float,
-        fingerprints: set[bytes],
+        calls: dict[bytes, bytes],
         announcement: Announcement | None,
     ) -> None:
         self.at = at
-        self.fingerprints = fingerprints
+        self.calls = calls
+        self.confirmed = False
+        self.probed = False
         self._announcement = announcement
 
     @property
@@ -321,6 +343,12 @@
         """Identity of the target; empty if none was announced."""
         return '' if self._announcement is None else self._announcement.target
 
+    def explains_loss_of(self, call: Call) -> bool:
+        """Whether the connection of a call broke in this incident as well."""
+        return call.call_id in self.calls and (
+            self.confirmed or not self.probed
+        )
+
     def has_target_changed(self, announcement: Announcement | None) -> bool:
         """Whether the lease has lapsed or the target restarted since then."""
         known = self._announcement
--- a/lycheespar/tests/admission/crash_guard_tests.py
+++ b/lycheespar/tests/admission/crash_guard_tests.py
@@ -127,6 +127,36 @@
     assert node.verdict('/a') is Verdict.suspect
 
 
+async def test_a_crash_soon_after_a_broken_answer_is_blamed_on_its_own_requests(
+    node,
+):
+    server = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    node.local.announce(
+        Announcement('t', 'a', 'b', f'127.0.0.1:{port}', incarnation='1'),
+    )
+    await node.crash('/broken-answer')
+    server.close()
+    await node.crash('/crash')
+    assert node.verdict('/crash') is Verdict.suspect
+    assert node.verdict('/broken-answer') is Verdict.clear
+
+
+async def test_connections_that_break_late_in_a_crash_make_no_second_crash(
+    node,
+):
+    crashing, slow = await node.start('/crash', '/slow')
+    node.target.running['/crash'].set_exception(TargetLostError())
+    await asyncio.gather(crashing, return_exceptions=True)
+    while node.guard._tasks:
+        await asyncio.sleep(0)
+    node.target.running['/slow'].set_exception(TargetLostError())
+    await asyncio.gather(slow, return_exceptions=True)
+    while node.guard._tasks:
+        await asyncio.sleep(0)
+    assert node.suspects.evidence(fingerprint('/slow')).crashes == 1
+
+
 async def test_a_suspect_runs_alone_and_is_cleared(node):
     await node.crash('/a', '/b')
     first = await node.start('/c')
