Telemetry: events on limits that a target names and on targets that leave

The node reads both headers of a target's answers and reports what it learned; no decision changes. The logs can now tell whether a limit was known at the node of the target (target_limit) when requests went on. Headers that cannot be read are reported too (header_ignored). Events on crashes move to a module of their own.

--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -10,6 +10,7 @@
 
 from lycheespar.admission.gate import Gate
 from lycheespar.admission.limiter import Limiter, gate_limits
+from lycheespar.admission.notices import NoticeProcessor
 from lycheespar.admission.reported import ReportedLoad
 from lycheespar.call import Answer, Call, Load
 from lycheespar.configuration.model import Configuration, Parameters
@@ -29,6 +30,7 @@
 from lycheespar.targets.body import AnswerBody
 from lycheespar.targets.client import TargetClient
 from lycheespar.targets.load import LoadReport
+from lycheespar.targets.notices import read_notices
 from lycheespar.targets.shedding import refusal_error
 from lycheespar.telemetry.events import (
     TargetChanged,
@@ -43,6 +45,8 @@
 # Minimum time in seconds between two replacements of the connections.
 MIN_RECONNECT_INTERVAL_S: Final = 1
 MIN_FAILURE_STATUS: Final = 500
+# Status of an answer to a request that was addressed to another target.
+MISDIRECTED_STATUS: Final = 421
 # Time in seconds for which a target that may have turned cold is treated as
 # cold. It covers a few probes at the usual rate; a load report that says
 # otherwise ends it earlier.
@@ -81,6 +85,7 @@
         '_gate',
         '_limiter',
         '_load_path',
+        '_notices',
         '_parameters',
         '_profile',
         '_reconnected_at',
@@ -109,6 +114,7 @@
         self._profile = profile
         self._load_path = ''
         self._was_out = False
+        self._notices = NoticeProcessor(target)
         self._limiter = Limiter()
         self._gate = Gate(self._limiter)
         self._client: TargetClient | None = None
@@ -157,6 +163,7 @@
             return
         now = _now()
         self._reported_load.update(report, now)
+        self._notices.process(current, report.notices)
         if report.cold_s >= 0:
             self._gate.cold_rate.treat_as_cold(now + report.cold_s)
 
@@ -228,8 +235,8 @@
         call was queued.
         """
         self._check_admissible(call)
-        client = self._client
-        if client is None:
+        client, announcement = self._client, self._announcement
+        if client is None or announcement is None:
             raise TargetUnavailableError
         sent_at = _now()
         call.started = True
@@ -245,6 +252,13 @@
         except DeadlineExceededError:
             self._record_timeout(call, _now() - sent_at)
             raise
+        if answer.status != MISDIRECTED_STATUS:
+            self._notices.process(
+                announcement,
+                read_notices(
+                    answer.headers, self._profile, announcement.target
+                ),
+            )
         self._process_answer(call, answer, _now() - sent_at)
         return answer
 
--- a/lycheespar/admission/suspects.py
+++ b/lycheespar/admission/suspects.py
@@ -18,7 +18,8 @@
 import msgspec
 
 from lycheespar.membership.broadcast import Broadcast, BroadcastTable
-from lycheespar.telemetry.events import CrashLearned, SuspectCleared, events
+from lycheespar.telemetry.crash_events import CrashLearned, SuspectCleared
+from lycheespar.telemetry.events import events
 
 # Time in seconds after a crash for which a convicted fingerprint is refused.
 CONVICTION_S: Final = 60
--- a/lycheespar/platform/headers.py
+++ b/lycheespar/platform/headers.py
@@ -15,5 +15,7 @@
     target='X-Lycheespar-Instance-Id',
     load='X-Lycheespar-Server-Load',
     cold_ms='X-Lycheespar-Cold-Ms',
+    rate_limit='Server-Limit',
+    leaving='Server-Leaving',
     integer_retry_after=False,
 )
--- a/lycheespar/profile.py
+++ b/lycheespar/profile.py
@@ -27,6 +27,10 @@
         From targets: their load as running, waiting, slots, pace in percent.
     cold_ms : str
         From targets: remaining milliseconds of the cold start.
+    rate_limit : str
+        From targets: calls per second that they take from all nodes together.
+    leaving : str
+        From targets: they are about to leave and take no new calls.
     integer_retry_after : bool
         Whether ``Retry-After`` has whole seconds only, for callers that do not
         understand fractions.
@@ -40,6 +44,8 @@
     target: str = ''
     load: str = ''
     cold_ms: str = ''
+    rate_limit: str = ''
+    leaving: str = ''
     integer_retry_after: bool = True
 
 
--- a/lycheespar/routing/suspects.py
+++ b/lycheespar/routing/suspects.py
@@ -20,7 +20,8 @@
 from lycheespar.membership.records import MemberRecord
 from lycheespar.membership.view import MembershipView
 from lycheespar.routing.pool import ChannelPool
-from lycheespar.telemetry.events import SuspectHandled, events
+from lycheespar.telemetry.crash_events import SuspectHandled
+from lycheespar.telemetry.events import events
 
 # Value in seconds of ``Retry-After`` when no target is available.
 RETRY_AFTER_S = 1
--- a/lycheespar/targets/load.py
+++ b/lycheespar/targets/load.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from lycheespar.profile import HeaderProfile
+from lycheespar.targets.notices import Notices, read_notices
 
 MS_PER_S: Final = 1000
 # Reported pace, in percent, of a host on which work takes as long as usual.
@@ -33,6 +34,8 @@
         reported.
     target : str
         Name of the target that reports; empty if not reported.
+    notices : Notices
+        Limit that the target names, and whether it leaves.
     """
 
     running: int = 0
@@ -40,6 +43,7 @@
     pace: float = 0
     cold_s: float = -1
     target: str = ''
+    notices: Notices = Notices()
 
 
 _decoder = msgspec.json.Decoder(LoadReport)
@@ -66,6 +70,7 @@
     """
     numbers = _parse_numbers(headers.get(profile.load, ''))
     cold_ms = headers.get(profile.cold_ms, '')
+    target = headers.get(profile.target, '')
     return LoadReport(
         running=numbers[0] if numbers else 0,
         waiting=numbers[1] if len(numbers) > 1 else 0,
@@ -73,7 +78,8 @@
         if len(numbers) >= _NUMBERS_WITH_PACE
         else 0,
         cold_s=int(cold_ms) / MS_PER_S if cold_ms.isdecimal() else -1,
-        target=headers.get(profile.target, ''),
+        target=target,
+        notices=read_notices(headers.items(), profile, target),
     )
 
 
--- a/lycheespar/telemetry/events.py
+++ b/lycheespar/telemetry/events.py
@@ -205,122 +205,74 @@
     cold_s: float
 
 
-class TargetLeaseExpired(Event, frozen=True, tag='target_silent'):
-    """The lease of this node's target expired; no target is known now.
+class TargetLimitChanged(Event, frozen=True, tag='target_limit'):
+    """This node's target named another limit on its calls, or none any more.
 
     Attributes
     ----------
     target : str
-        Identity of the target; empty at the start of the node.
+        Identity of the target.
+    calls_per_s : float | None
+        Calls per second that it takes from all nodes together; None for no
+        limit.
     """
 
     part: ClassVar[str] = 'admission'
+    rate_limited: ClassVar[bool] = True
 
     target: str
+    calls_per_s: float | None
 
 
-class TargetCrashed(Event, frozen=True, tag='target_crashed'):
-    """This node's target crashed while requests were running at it.
+class TargetLeaving(Event, frozen=True, tag='target_leaving'):
+    """This node's target said in an answer that it leaves.
 
     Attributes
     ----------
     target : str
-        Identity of the target; empty if its lease had expired before.
-    evidence : str
-        What confirmed the crash: ``refused``, ``restarted`` or ``gone``.
-    after_s : float
-        Time in seconds from the broken connection to the confirmation.
-    fingerprints : tuple[str, ...]
-        Fingerprints of the requests that had started, in hexadecimal.
+        Identity of the target.
+    phase : str
+        Phase that it has announced.
     """
 
     part: ClassVar[str] = 'admission'
+    rate_limited: ClassVar[bool] = True
 
     target: str
-    evidence: str
-    after_s: float
-    fingerprints: tuple[str, ...]
+    phase: str
 
 
-class CrashUnconfirmed(Event, frozen=True, tag='crash_unconfirmed'):
-    """A connection to the target broke, and the target still listens.
+class HeaderIgnored(Event, frozen=True, tag='header_ignored'):
+    """A header of the target's answer could not be read.
 
     Attributes
     ----------
     target : str
         Identity of the target.
-    started : int
-        Number of requests that had started.
+    header, value : str
+        The header.
     """
 
-    part: ClassVar[str] = 'admission'
+    part: ClassVar[str] = 'targets'
     rate_limited: ClassVar[bool] = True
 
     target: str
-    started: int
-
-
-class CrashLearned(Event, frozen=True, tag='crash_learned'):
-    """This node learned of a crash, its own ones included.
-
-    Attributes
-    ----------
-    crash : str
-        Id of the crash, in hexadecimal.
-    age_s : float
-        Time in seconds since the crash.
-    fingerprints : tuple[str, ...]
-        Fingerprints of requests that had started at the target.
-    """
-
-    part: ClassVar[str] = 'admission'
-
-    crash: str
-    age_s: float
-    fingerprints: tuple[str, ...]
+    header: str
+    value: str
 
 
-class SuspectCleared(Event, frozen=True, tag='suspect_cleared'):
-    """A suspect request got a whole answer, here or at another node.
+class TargetLeaseExpired(Event, frozen=True, tag='target_silent'):
+    """The lease of this node's target expired; no target is known now.
 
     Attributes
     ----------
-    fingerprint : str
-        Fingerprint of the request, in hexadecimal.
-    crashes : tuple[str, ...]
-        Ids of the crashes that it is cleared of.
+    target : str
+        Identity of the target; empty at the start of the node.
     """
 
     part: ClassVar[str] = 'admission'
 
-    fingerprint: str
-    crashes: tuple[str, ...]
-
-
-class SuspectHandled(RequestEvent, frozen=True, tag='crash_verdict'):
-    """A request was isolated or refused because of crashes.
-
-    Attributes
-    ----------
-    fingerprint : str
-        Fingerprint of the request, in hexadecimal.
-    verdict : str
-        ``suspect`` or ``convicted``.
-    crashes : int
-        Crashes of the fingerprint that it is not cleared of.
-    most_shared : int
-        Most of these crashes that another fingerprint was in as well.
-    node : str
-        Node that is to run the request; empty if none.
-    """
-
-    part: ClassVar[str] = 'routing'
-
-    fingerprint: str
-    verdict: str
-    crashes: int
-    most_shared: int
-    node: str
+    target: str
 
 
 class BroadcastDropped(Event, frozen=True, tag='broadcast_dropped'):
--- a/tools/events_page.py
+++ b/tools/events_page.py
@@ -8,9 +8,11 @@
 
 import msgspec
 
+from lycheespar.telemetry import crash_events, events
 from lycheespar.telemetry.events import Event
 
 PAGE: Final = Path(__file__).parents[1] / 'docs' / 'user' / 'events.md'
+_MODULES: Final = frozenset((events.__name__, crash_events.__name__))
 
 _INTRODUCTION: Final = """# Events in the logs
 
@@ -27,7 +29,11 @@
 
 def events_page() -> str:
     """Return the text of the page."""
-    rows = (_row(event_type) for event_type in _leaf_types(Event))
+    rows = (
+        _row(event_type)
+        for event_type in _leaf_types(Event)
+        if event_type.__module__ in _MODULES
+    )
     return '\n'.join((_INTRODUCTION, *rows, ''))
 
 
