--- a/lycheespar/tests/admission/calls.py
+++ b/lycheespar/tests/admission/calls.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from lycheespar.admission.executor import Executor
@@ -17,6 +18,7 @@
 )
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import RequestError
+from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.client import TargetClient
 from standins.target import StandInTarget, TargetPlan
@@ -67,7 +69,9 @@
 class TargetWithExecutor:
     """A stand-in target and its executor in one process."""
 
-    def __init__(self, **plan: float) -> None:
+    def __init__(
+        self, profile: HeaderProfile = DEFAULT_PROFILE, **plan: float
+    ) -> None:
         """Create both; `start` opens the target's port."""
         self.target = StandInTarget(
             TargetPlan(
@@ -86,7 +90,8 @@
             self.view,
             'ijmuiden',
             float('inf'),
-            TargetClient,
+            partial(TargetClient, profile=profile),
+            profile,
         )
 
     async def start(self, **parameters: float) -> None:
--- a/standins/target.py
+++ b/standins/target.py
@@ -92,6 +92,8 @@
         Whether it announces that it is ready while it is cold.
     shedding : bool
         Whether each request is refused with status 503.
+    answer_headers : dict[str, str]
+        Further headers of each answer.
     load_frozen : bool
         Whether its load endpoint does not answer while this is set.
     load_lies : bool
@@ -125,6 +127,7 @@
         self.truncating = False
         self.hiding = False
         self.shedding = False
+        self.answer_headers: dict[str, str] = {}
         self.load_frozen = False
         self.load_lies = False
         self.cancelled = 0
@@ -318,7 +321,7 @@
             EXECUTION_HEADER: execution,
             'X-Target': self.plan.name,
             'X-Data-Centre': self.plan.data_centre,
-        }
+        } | self.answer_headers
         length = max(size, len(head))
         response = web.StreamResponse(headers=headers)
         response.content_length = length
