Admission: the limit that a target names holds for all nodes together

Callers saw: answers of a service got late (23 in 100 after 4 s), as a target in need got 36 requests a second though it had named 11.6. Cause: no part of the node read that limit; the target got its usual share. Ruled out: requests that pass the gate or are counted per caller's node; only the target's own node sends to it. Now that node holds the target to the named rate with a token bucket that starts empty; further calls wait by weight, within the bounds of any queue, or are refused at once as target_limit with the time until they can start. It reports how many calls such a rate keeps running, so that other nodes choose other targets first, and probes the target once a second. The limit ends a second after the last answer that names it, or with the target.

--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -45,6 +45,9 @@
 # Minimum time in seconds between two replacements of the connections.
 MIN_RECONNECT_INTERVAL_S: Final = 1
 MIN_FAILURE_STATUS: Final = 500
+# Time budget for probes of a target that limits its calls, in milliseconds per
+# second: about one probe, as its answers to calls show its load as well.
+LIMITED_PROBE_BUDGET_MS_PER_S: Final = 6
 # Status of an answer to a request that was addressed to another target.
 MISDIRECTED_STATUS: Final = 421
 # Time in seconds for which a target that may have turned cold is treated as
@@ -114,9 +117,9 @@
         self._profile = profile
         self._load_path = ''
         self._was_out = False
-        self._notices = NoticeProcessor(target)
         self._limiter = Limiter()
         self._gate = Gate(self._limiter)
+        self._notices = NoticeProcessor(target, self._gate)
         self._client: TargetClient | None = None
         self._announcement: Announcement | None = None
         self._parameters = Parameters()
@@ -145,7 +148,10 @@
     @property
     def probe_budget_ms_per_s(self) -> float:
         """Time budget for probes, in milliseconds per second."""
-        return self._parameters.probe_budget_ms_per_s
+        budget = self._parameters.probe_budget_ms_per_s
+        if self._gate.rates.named.calls_per_s is None:
+            return budget
+        return min(budget, LIMITED_PROBE_BUDGET_MS_PER_S)
 
     @property
     def load_path(self) -> str:
@@ -165,7 +171,7 @@
         self._reported_load.update(report, now)
         self._notices.process(current, report.notices)
         if report.cold_s >= 0:
-            self._gate.cold_rate.treat_as_cold(now + report.cold_s)
+            self._gate.rates.cold.treat_as_cold(now + report.cold_s)
 
     async def execute(self, call: Call) -> Answer:
         """Run a call at the target.
@@ -202,7 +208,7 @@
         if not self._limiter.is_cold(now):
             log.info('The target may have restarted; beginning a cold start.')
         self._limiter.begin_cold_start(now)
-        self._gate.cold_rate.treat_as_cold(now + PRESUMED_COLD_S)
+        self._gate.rates.cold.treat_as_cold(now + PRESUMED_COLD_S)
 
     def _check_admissible(self, call: Call) -> None:
         """Check that the target may run a call.
@@ -320,7 +326,8 @@
         if previous is None or previous.start_key != announcement.start_key:
             self._replace_client(self._connect(announcement))
             self._limiter.begin_cold_start(_now())
-            self._gate.cold_rate.treat_as_cold(_now() + PRESUMED_COLD_S)
+            self._gate.rates.named.end()
+            self._gate.rates.cold.treat_as_cold(_now() + PRESUMED_COLD_S)
         elif (
             announcement.membership_phase is Phase.cold
             and previous.membership_phase is not Phase.cold
@@ -330,7 +337,7 @@
             cold_phase=announcement.membership_phase is Phase.cold
         )
         if announcement.cold_s:
-            self._gate.cold_rate.treat_as_cold(_now() + announcement.cold_s)
+            self._gate.rates.cold.treat_as_cold(_now() + announcement.cold_s)
         self._update_drain(announcement)
         self._reconfigure(self._configuration.current)
 
@@ -359,7 +366,7 @@
         if out:
             self._gate.refuse_queued(OutOfServiceError)
         elif self._was_out:
-            self._gate.cold_rate.treat_as_cold(_now() + PRESUMED_COLD_S)
+            self._gate.rates.cold.treat_as_cold(_now() + PRESUMED_COLD_S)
         self._was_out = out
 
     def _reconnect(self) -> None:
--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -9,13 +9,14 @@
 from lycheespar.admission.latency import LatencyEstimate
 from lycheespar.admission.limiter import GateLimits, Limiter
 from lycheespar.admission.queue import CallQueue, QueuedCall
-from lycheespar.admission.rate import ColdRateLimit
+from lycheespar.admission.rates import RateLimits
 from lycheespar.call import Call, Load
 from lycheespar.errors import (
     ColdTargetError,
     DeadlineUnreachableError,
     OverloadedError,
     RefusedError,
+    TargetLimitError,
 )
 
 MS_PER_S: Final = 1000
@@ -35,8 +36,8 @@
 
     Attributes
     ----------
-    cold_rate : ColdRateLimit
-        Limits the rate of calls to a cold target.
+    rates : RateLimits
+        Limit the rate of calls to the target.
     """
 
     __slots__ = (
@@ -47,7 +48,7 @@
         '_occupancy',
         '_queue',
         '_running',
-        'cold_rate',
+        'rates',
     )
 
     def __init__(self, limiter: Limiter) -> None:
@@ -59,7 +60,7 @@
         self._occupancy = LatencyEstimate()
         self._limiter = limiter
         self._limits = GateLimits()
-        self.cold_rate = ColdRateLimit(self._admit_queued)
+        self.rates = RateLimits(self.admit_queued)
 
     @property
     def limit(self) -> int:
@@ -82,7 +83,7 @@
         return Load(
             self._running,
             len(self._queue),
-            self.limit,
+            self.rates.named.cap_running(self.limit, self._occupancy.mean_s),
             self._occupancy.mean_s * MS_PER_S,
             self._limiter.failure_share,
         )
@@ -96,9 +97,9 @@
         """Change the limits; running and queued calls are not affected."""
         self._limits = limits
         self._limiter.configure(limits)
-        self.cold_rate.configure(limits.cold_per_s)
+        self.rates.cold.configure(limits.cold_per_s)
         if self._queue:
-            self._admit_queued()
+            self.admit_queued()
 
     def refuse_queued(self, error_type: type[RefusedError]) -> None:
         """Refuse all queued calls."""
@@ -118,14 +119,17 @@
             The call could not end before its deadline.
         """
         now = _now()
-        rate_wait_s = self.cold_rate.wait_s(now)
+        rate_wait_s = self.rates.wait_s(now)
         if self._running < self.limit and not self._queue and not rate_wait_s:
             self._check_deadline(call, now, 0)
             self._running += 1
-            self.cold_rate.record(now)
+            self.rates.record(now)
             return
         position = self._queue.count_ahead_of(call) + 1
-        wait_s = max(self._expected_wait_s(position, now), rate_wait_s)
+        wait_s = max(
+            self._expected_wait_s(position, now),
+            self.rates.wait_s(now, position),
+        )
         wait_s *= self._admitted_weights.wait_factor(call.weight)
         self._check_deadline(call, now, wait_s)
         recent_latency_s = self._limiter.recent_latency_s(
@@ -145,7 +149,7 @@
             raise self._overload_error()
         self._make_room(call)
         queued = self._queue.push(call)
-        self.cold_rate.notify_after(rate_wait_s)
+        self.rates.notify_after(rate_wait_s)
         await self._wait_for_admission(queued, now + max_wait_s)
 
     def release(self, occupied_s: float) -> None:
@@ -153,7 +157,19 @@
         self._running -= 1
         self._last_release_at = _now()
         self._occupancy.add(occupied_s, self._last_release_at)
-        self._admit_queued()
+        self.admit_queued()
+
+    def admit_queued(self) -> None:
+        """Admit the queued calls that the limits allow now."""
+        now = _now()
+        while self._queue and self._running < self.limit:
+            rate_wait_s = self.rates.wait_s(now)
+            if rate_wait_s:
+                self.rates.notify_after(rate_wait_s)
+                return
+            queued = self._queue.pop()
+            if not queued.admission.done():
+                self._admit(queued, now)
 
     def _check_deadline(self, call: Call, now: float, wait_s: float) -> None:
         """Refuse a call that is very unlikely to meet its deadline."""
@@ -205,18 +221,7 @@
             self._running -= 1
         else:
             self._queue.remove(queued)
-        self._admit_queued()
-
-    def _admit_queued(self) -> None:
-        now = _now()
-        while self._queue and self._running < self.limit:
-            rate_wait_s = self.cold_rate.wait_s(now)
-            if rate_wait_s:
-                self.cold_rate.notify_after(rate_wait_s)
-                return
-            queued = self._queue.pop()
-            if not queued.admission.done():
-                self._admit(queued, now)
+        self.admit_queued()
 
     def _admit(self, queued: QueuedCall, now: float) -> None:
         """Admit a queued call, or refuse it if its deadline is too near."""
@@ -226,13 +231,15 @@
             queued.refuse(error)
             return
         self._running += 1
-        self.cold_rate.record(now)
+        self.rates.record(now)
         self._admitted_weights.add(queued.call.weight)
         queued.admit()
 
     def _overload_error(self) -> RefusedError:
         now = _now()
-        cold = self._limiter.is_cold(now) or self.cold_rate.is_cold(now)
+        if self.rates.named.wait_s(now, len(self._queue) + 1):
+            return TargetLimitError(retry_after_s=self._retry_after_s())
+        cold = self._limiter.is_cold(now) or self.rates.cold.is_cold(now)
         error_type = ColdTargetError if cold else OverloadedError
         return error_type(retry_after_s=self._retry_after_s())
 
@@ -244,7 +251,11 @@
         """Return the expected time in seconds to finish the current calls."""
         now = _now()
         backlog = len(self._queue) + self._running
-        return max(MIN_RETRY_AFTER_S, self._expected_wait_s(backlog, now))
+        return max(
+            MIN_RETRY_AFTER_S,
+            self._expected_wait_s(backlog, now),
+            self.rates.named.wait_s(now, len(self._queue) + 1),
+        )
 
 
 def max_useful_wait_s(call: Call, now: float, recent_latency_s: float) -> float:
--- a/lycheespar/admission/notices.py
+++ b/lycheespar/admission/notices.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+
+from lycheespar.admission.gate import Gate
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.notices import Notices
 from lycheespar.telemetry.events import (
@@ -18,14 +21,16 @@
     ----------
     target : LocalTarget
         The target of this node.
+    gate : Gate
+        Enforces the limit on the rate of calls.
     """
 
-    __slots__ = ('_calls_per_s', '_target')
+    __slots__ = ('_gate', '_target')
 
-    def __init__(self, target: LocalTarget) -> None:
-        """Create a processor that knows no limit."""
+    def __init__(self, target: LocalTarget, gate: Gate) -> None:
+        """Create a processor for the calls that pass a gate."""
         self._target = target
-        self._calls_per_s: float | None = None
+        self._gate = gate
 
     def process(self, announcement: Announcement, notices: Notices) -> None:
         """Process the notices in an answer of an announced target.
@@ -35,10 +40,22 @@
         current = self._target.current
         if current is None or current.start_key != announcement.start_key:
             return
-        if notices.calls_per_s != self._calls_per_s:
-            self._calls_per_s = notices.calls_per_s
-            events.write(
-                TargetLimitChanged(current.target, notices.calls_per_s),
-            )
+        self._update_limit(current, notices.calls_per_s)
         if notices.leaving:
             events.write(TargetLeaving(current.target, current.phase))
+
+    def _update_limit(
+        self, announcement: Announcement, calls_per_s: float | None
+    ) -> None:
+        limit = self._gate.rates.named
+        known = limit.calls_per_s
+        now = asyncio.get_running_loop().time()
+        if calls_per_s is not None:
+            limit.set(calls_per_s, now)
+        elif known is not None:
+            limit.end_unless_recent(now)
+        if limit.calls_per_s != known:
+            events.write(
+                TargetLimitChanged(announcement.target, limit.calls_per_s),
+            )
+            self._gate.admit_queued()
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -206,6 +206,12 @@
     code = 'target_refused'
 
 
+class TargetLimitError(OverloadedError):
+    """The target takes no more calls a second than it gets."""
+
+    code = 'target_limit'
+
+
 class ColdTargetError(RefusedError):
     """The target is in cold start and accepts no more requests now."""
 
--- a/lycheespar/telemetry/events.py
+++ b/lycheespar/telemetry/events.py
@@ -213,8 +213,7 @@
     target : str
         Identity of the target.
     calls_per_s : float | None
-        Calls per second that it takes from all nodes together; None for no
-        limit.
+        Calls per second that are sent to it from now on; None for no limit.
     """
 
     part: ClassVar[str] = 'admission'
--- a/lycheespar/tests/admission/gate_tests.py
+++ b/lycheespar/tests/admission/gate_tests.py
@@ -256,7 +256,7 @@
 async def test_queued_calls_are_admitted_at_the_rate_of_a_cold_target():
     gate = _gate(9, 20, cold_per_s=2)
     now = asyncio.get_running_loop().time()
-    gate.cold_rate.treat_as_cold(now + 60)
+    gate.rates.cold.treat_as_cold(now + 60)
     tasks = [asyncio.create_task(gate.acquire(make_call())) for _ in range(4)]
     await _run_pending()
     assert gate.running == 2
--- a/lycheespar/tests/admission/notices_tests.py
+++ b/lycheespar/tests/admission/notices_tests.py
@@ -17,7 +17,7 @@
 async def pair():
     """Run a target that names its limits, with its executor."""
     created = TargetWithExecutor(PROFILE, slots=12, service_ms=1)
-    await created.start(cold_share=1)
+    await created.start(cold_share=1, probe_budget_ms_per_s=60)
     yield created
     await created.stop()
 
@@ -49,3 +49,12 @@
     pair.announce(lease_s=50)
     assert isinstance(await pair.run(make_call()), DrainingError)
     assert pair.target.executions.total() == 1
+
+
+async def test_a_limited_target_is_probed_about_once_a_second(pair):
+    usual = pair.executor.probe_budget_ms_per_s
+    pair.target.answer_headers = {'X-Rate-Limit': '5'}
+    await pair.run(make_call())
+    assert pair.executor.probe_budget_ms_per_s == 6 < usual
+    pair.announce(incarnation='next')
+    assert pair.executor.probe_budget_ms_per_s == usual
--- a/lycheespar/tests/virtual_loop.py
+++ b/lycheespar/tests/virtual_loop.py
@@ -133,7 +133,10 @@
         tasks = asyncio.all_tasks(loop)
         for task in tasks:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        if tasks:
+            loop.run_until_complete(
+                asyncio.gather(*tasks, return_exceptions=True),
+            )
         loop.close()
 
 
