Admission: a target that says in its answers that it leaves gets no new calls

Callers would see: requests that go on to a target which leaves without an announcement, until it is gone. Cause: the node learned of leaving from announcements alone. Now an answer with that notice marks the target as draining at its own node, which alone sends to it, and gossip tells the others. Later announcements of the same start do not undo it. Answers to requests that were meant for another target are not taken for it.

--- a/lycheespar/admission/notices.py
+++ b/lycheespar/admission/notices.py
@@ -43,6 +43,7 @@
         self._update_limit(current, notices.calls_per_s)
         if notices.leaving:
             events.write(TargetLeaving(current.target, current.phase))
+            self._target.record_leaving_notice()
 
     def _update_limit(
         self, announcement: Announcement, calls_per_s: float | None
--- a/lycheespar/targets/announcement.py
+++ b/lycheespar/targets/announcement.py
@@ -76,12 +76,13 @@
     'draining': Phase.draining,
     'leaving': Phase.left,
 }
+_ENDING = frozenset((Phase.draining, Phase.left))
 
 
 class LocalTarget:
     """The target of this node, as long as its announcement is valid."""
 
-    __slots__ = ('_draining', '_expiry', '_subject')
+    __slots__ = ('_draining', '_expiry', '_leaving_start', '_subject')
 
     def __init__(self) -> None:
         """Start without an announced target."""
@@ -90,6 +91,7 @@
         )
         self._expiry: asyncio.TimerHandle | None = None
         self._draining = False
+        self._leaving_start: tuple[str, str, str] | None = None
 
     @property
     def current(self) -> Announcement | None:
@@ -104,10 +106,11 @@
     def announce(self, announcement: Announcement) -> None:
         """Store an announcement and renew the lease.
 
-        While the node drains, any phase but ``leaving`` is replaced by
-        ``draining``.
+        While the node drains, and for a target that has said that it leaves,
+        any phase but ``leaving`` is replaced by ``draining``.
         """
-        if self._draining and announcement.membership_phase is not Phase.left:
+        drains = self._draining or announcement.start_key == self._leaving_start
+        if drains and announcement.membership_phase is not Phase.left:
             announcement = replace(announcement, phase='draining')
         if self._expiry is not None:
             self._expiry.cancel()
@@ -119,9 +122,16 @@
     def mark_draining(self) -> None:
         """Mark the target as draining, as its node is about to stop."""
         self._draining = True
-        current = self.current
-        if current is not None and current.membership_phase is not Phase.left:
-            self._subject.on_next(replace(current, phase='draining'))
+        self._drain_current()
+
+    def record_leaving_notice(self) -> None:
+        """Mark the target as draining, as it said that it leaves.
+
+        It stays so until it starts again or its lease expires.
+        """
+        if self.current is not None:
+            self._leaving_start = self.current.start_key
+            self._drain_current()
 
     def mark_leaving(self) -> None:
         """Mark the target as leaving, so that it gets no new calls."""
@@ -129,6 +139,12 @@
         if current is not None and current.membership_phase is not Phase.left:
             self._subject.on_next(replace(current, phase='leaving'))
 
+    def _drain_current(self) -> None:
+        current = self.current
+        if current is not None and current.membership_phase not in _ENDING:
+            self._subject.on_next(replace(current, phase='draining'))
+
     def _expire(self) -> None:
         self._expiry = None
+        self._leaving_start = None
         self._subject.on_next(None)
--- a/lycheespar/tests/admission/notices_tests.py
+++ b/lycheespar/tests/admission/notices_tests.py
@@ -51,6 +51,25 @@
     assert pair.target.executions.total() == 1
 
 
+async def test_a_target_that_starts_again_after_leaving_gets_calls(pair):
+    pair.target.answer_headers = {'X-Leaving': '1'}
+    await pair.run(make_call())
+    pair.target.answer_headers = {}
+    pair.announce(incarnation='next')
+    assert (await pair.run(make_call())).status == 200
+
+
+async def test_an_answer_for_another_target_does_not_end_the_use_of_this_one(
+    pair,
+):
+    pair.target.answer_headers = {'X-Leaving': '1'}
+    pair.target.misdirecting = True
+    await pair.run(make_call())
+    pair.target.misdirecting = False
+    pair.target.answer_headers = {}
+    assert (await pair.run(make_call())).status == 200
+
+
 async def test_a_limited_target_is_probed_about_once_a_second(pair):
     usual = pair.executor.probe_budget_ms_per_s
     pair.target.answer_headers = {'X-Rate-Limit': '5'}
--- a/standins/target.py
+++ b/standins/target.py
@@ -92,6 +92,8 @@
         Whether it announces that it is ready while it is cold.
     shedding : bool
         Whether each request is refused with status 503.
+    misdirecting : bool
+        Whether each request is refused as meant for another target.
     answer_headers : dict[str, str]
         Further headers of each answer.
     load_frozen : bool
@@ -127,6 +129,7 @@
         self.truncating = False
         self.hiding = False
         self.shedding = False
+        self.misdirecting = False
         self.answer_headers: dict[str, str] = {}
         self.load_frozen = False
         self.load_lies = False
@@ -293,6 +296,8 @@
         if self.shedding:
             headers = {'Retry-After': '7'}
             return web.Response(status=503, text='sheds', headers=headers)
+        if self.misdirecting:
+            return web.Response(status=421, headers=self.answer_headers)
         if self.running > capacity:
             self.overruns += 1
             self._journal.append('overrun', execution)
