Admission: a load report without a limit does not end one that answers name

Callers would see: bursts at a target in need, each time it is probed, if it names its limit in answers to calls alone and takes less than a call a second. Whether load reports name the limit is not said by the platform's pages. Now a load report ends a limit only if a load report has named one. The test fails without the check.

--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -169,7 +169,7 @@
             return
         now = _now()
         self._reported_load.update(report, now)
-        self._notices.process(current, report.notices)
+        self._notices.process(current, report.notices, in_load_report=True)
         if report.cold_s >= 0:
             self._gate.rates.cold.treat_as_cold(now + report.cold_s)
 
--- a/lycheespar/tests/admission/notices_tests.py
+++ b/lycheespar/tests/admission/notices_tests.py
@@ -8,6 +8,8 @@
 
 from lycheespar.errors import DrainingError, RefusedError
 from lycheespar.profile import HeaderProfile
+from lycheespar.targets.load import LoadReport
+from lycheespar.targets.notices import Notices
 from lycheespar.tests.admission.calls import TargetWithExecutor, make_call
 
 PROFILE = HeaderProfile(rate_limit='X-Rate-Limit', leaving='X-Leaving')
@@ -42,6 +44,21 @@
     assert await _send_for(pair, 2) <= 1.5 * calls_per_s * 2 + 5
 
 
+@pytest.mark.parametrize('reports_name_limit', [False, True])
+async def test_a_load_report_without_a_limit_ends_only_limits_of_reports(
+    pair, reports_name_limit
+):
+    limit = pair.executor._gate.rates.named
+    pair.target.answer_headers = {'X-Rate-Limit': '0.4'}
+    await pair.run(make_call())
+    if reports_name_limit:
+        report = LoadReport(notices=Notices(calls_per_s=0.4))
+        pair.executor.record_load_report(report)
+    limit._named_at -= 2
+    pair.executor.record_load_report(LoadReport())
+    assert (limit.calls_per_s is None) is reports_name_limit
+
+
 async def test_a_target_that_says_it_leaves_gets_no_new_calls(pair):
     pair.target.answer_headers = {'X-Leaving': '1'}
     await pair.run(make_call())
