--- a/lycheespar/tests/platform/end_to_end_tests.py
+++ b/lycheespar/tests/platform/end_to_end_tests.py
@@ -194,6 +194,40 @@
     assert draining.runs.total() == before
 
 
+async def test_a_limit_that_a_target_names_holds_for_all_nodes_together(site):
+    await _configure(site)
+    for target in site.targets:
+        target.work_s = 0.1
+    limited = site.targets[1]
+    limited.notices = {'Server-Limit': '2.5'}
+    while not limited.runs:
+        await asyncio.gather(*map(_call, _nodes(site)))
+    before = limited.runs.total()
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    statuses: list[int] = []
+    while loop.time() < began_at + 4:
+        calls = await asyncio.gather(*map(_call, _nodes(site) * 10))
+        statuses.extend(status for _, status, _ in calls)
+    allowed = 1.5 * 2.5 * (loop.time() - began_at) + 5
+    runs = limited.runs.total() - before
+    assert 1 <= runs <= allowed
+    assert set(statuses) <= {200, 503}
+    assert statuses.count(200) > runs
+
+
+async def test_a_target_that_says_it_leaves_gets_no_new_requests(site):
+    await _configure(site)
+    leaving = site.targets[1]
+    leaving.notices = {'Server-Leaving': '1'}
+    while not leaving.runs:
+        await asyncio.gather(*map(_call, _nodes(site)))
+    before = leaving.runs.total()
+    for machine in _nodes(site) * 6:
+        assert (await _call(machine))[1] == 200
+    assert leaving.runs.total() == before
+
+
 async def test_metrics_are_served(site):
     await _configure(site)
     machine = _nodes(site)[0]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -163,6 +163,8 @@
         Remaining time of the cold start in milliseconds that it reports.
     state : str
         State that heartbeats report.
+    notices : dict[str, str]
+        Further headers of its answers to requests.
     """
 
     def __init__(self, machine: Machine, identity: str) -> None:
@@ -177,6 +179,7 @@
         self.sends_foreign_answers = False
         self.cold_ms = 0
         self.state = 'ready'
+        self.notices: dict[str, str] = {}
         self._sequence = 0
         self._running = 0
         self._started_at_ms = int(time.time() * 1000)
@@ -258,7 +261,9 @@
             RESPONSE_SEAL_HEADER: f'{self.identity}.{attempt_id}',
         }
         response_text = f'{request.method} {request.path} {len(body)}'
-        return web.Response(text=response_text, headers=response_headers | load)
+        return web.Response(
+            text=response_text, headers=response_headers | load | self.notices
+        )
 
     def _work_s(self, path: str) -> float:
         """Return how long a request takes, by the first part of its path."""
