--- a/lycheespar/membership/broadcast.py
+++ b/lycheespar/membership/broadcast.py
@@ -129,19 +129,35 @@
             return False
         now = self._clock()
         key = (broadcast.topic, broadcast.key)
-        known = self._broadcasts.get(key)
-        if len(self._broadcasts) >= MAX_BROADCASTS:
-            self._drop_expired(now)
-        if len(self._broadcasts) >= MAX_BROADCASTS and known is None:
+        expires_at = now + min(broadcast.ttl_s, MAX_TTL_S)
+        if key not in self._broadcasts and not self._make_room(now, expires_at):
             self._write_dropped(broadcast, 'full')
             return False
-        self._broadcasts[key] = (
-            broadcast,
-            now + min(broadcast.ttl_s, MAX_TTL_S),
-        )
+        self._broadcasts[key] = (broadcast, expires_at)
         self._subject.on_next(broadcast)
         return True
 
+    def _make_room(self, now: float, expires_at: float) -> bool:
+        """Make room for a broadcast, if need be by dropping another one.
+
+        The one that expires first is dropped, unless the new one would expire
+        before it.
+        """
+        if len(self._broadcasts) < MAX_BROADCASTS:
+            return True
+        self._drop_expired(now)
+        if len(self._broadcasts) < MAX_BROADCASTS:
+            return True
+        first = min(self._broadcasts, key=self._expires_at)
+        if self._expires_at(first) >= expires_at:
+            return False
+        evicted, _ = self._broadcasts.pop(first)
+        self._write_dropped(evicted, 'evicted')
+        return True
+
+    def _expires_at(self, key: tuple[str, bytes]) -> float:
+        return self._broadcasts[key][1]
+
     def _write_dropped(self, broadcast: Broadcast, reason: str) -> None:
         events.write(
             BroadcastDropped(broadcast.topic, reason, len(self._broadcasts)),
--- a/lycheespar/telemetry/events.py
+++ b/lycheespar/telemetry/events.py
@@ -275,14 +275,14 @@
 
 
 class BroadcastDropped(Event, frozen=True, tag='broadcast_dropped'):
-    """A broadcast was not added to the table.
+    """A broadcast was not added to the table, or was evicted from it.
 
     Attributes
     ----------
     topic : str
         Kind of the broadcast.
     reason : str
-        ``full``, ``expired`` or ``too large``.
+        ``full``, ``evicted``, ``expired`` or ``too large``.
     known : int
         Number of broadcasts in the table.
     """
