Crash guard: a port that closes late hides no request that broke first

Callers would see: a request that ends its targets stays unknown at a busy host whose process keeps its port open for more than 0.4 s while it ends. Cause, found when reading again: a connection that broke after the probes began a new incident without the calls that had broken before. Now such an incident takes over the calls of the former one for as long as that may be confirmed, if the call ran in both. Ages in the events are rounded.

--- a/lycheespar/admission/crash_guard.py
+++ b/lycheespar/admission/crash_guard.py
@@ -200,20 +200,21 @@
         """Start checking for a crash, as the connection of a call broke.
 
         The started calls are recorded: if a crash is confirmed, they become
-        suspects.
+        suspects. An unconfirmed incident goes on if the call ran at its
+        beginning, as a port may close long after the first connections.
         """
         known = self._incident
         if known is not None and known.explains_loss_of(call):
             return
-        incident = _Incident(
-            asyncio.get_running_loop().time(),
-            {
-                call_id: running.fingerprint
-                for call_id, running in self._running.items()
-                if running.started
-            },
-            self._target.current,
-        )
+        calls = {
+            call_id: running.fingerprint
+            for call_id, running in self._running.items()
+            if running.started
+        }
+        now = asyncio.get_running_loop().time()
+        if known is not None and known.includes(call, now):
+            calls |= known.calls
+        incident = _Incident(now, calls, self._target.current)
         self._incident = incident
         self._spawn(self._probe_port(incident))
 
@@ -266,7 +267,7 @@
             TargetCrashed(
                 incident.target,
                 evidence,
-                elapsed_s,
+                round(elapsed_s, 3),
                 tuple(found.hex() for found in fingerprints),
             ),
         )
@@ -346,6 +347,11 @@
             self.confirmed or not self.probed
         )
 
+    def includes(self, call: Call, now: float) -> bool:
+        """Whether a call ran in this incident, which may yet be confirmed."""
+        is_recent = now - self.at < CONFIRMATION_WINDOW_S
+        return is_recent and call.call_id in self.calls
+
     def has_target_changed(self, announcement: Announcement | None) -> bool:
         """Whether the lease has lapsed or the target restarted since then."""
         known = self._announcement
--- a/lycheespar/admission/suspects.py
+++ b/lycheespar/admission/suspects.py
@@ -177,7 +177,9 @@
         crash = self._crashes.setdefault(crash_id, _Crash(at, set()))
         crash.fingerprints |= found
         events.write(
-            CrashLearned(crash_id.hex(), self._clock() - at, _hex(found)),
+            CrashLearned(
+                crash_id.hex(), round(self._clock() - at, 3), _hex(found)
+            ),
         )
 
     def _crashes_of(self, fingerprint: bytes) -> list[_Crash]:
--- a/lycheespar/tests/admission/crash_guard_tests.py
+++ b/lycheespar/tests/admission/crash_guard_tests.py
@@ -142,6 +142,28 @@
     assert node.verdict('/broken-answer') is Verdict.clear
 
 
+async def test_a_port_that_closes_very_late_hides_no_request_that_broke_first(
+    node,
+):
+    server = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    node.local.announce(
+        Announcement('t', 'a', 'b', f'127.0.0.1:{port}', incarnation='1'),
+    )
+    crashing, slow = await node.start('/crash', '/slow')
+    node.target.running['/crash'].set_exception(TargetLostError())
+    await asyncio.gather(crashing, return_exceptions=True)
+    while node.guard._tasks:
+        await asyncio.sleep(0)
+    server.close()
+    node.target.running['/slow'].set_exception(TargetLostError())
+    await asyncio.gather(slow, return_exceptions=True)
+    while node.guard._tasks:
+        await asyncio.sleep(0)
+    assert node.verdict('/crash') is Verdict.suspect
+    assert node.suspects.evidence(fingerprint('/slow')).crashes == 1
+
+
 async def test_connections_that_break_late_in_a_crash_make_no_second_crash(
     node,
 ):
