Admission: a limited target without room at its rate does not look free

Callers would see: calls that wait at a target in need while others could start them at once. Cause, found in the log of a test run: such a target reported no running and no queued call, as its rate keeps it idle in between. Now one call counts as queued while the rate allows none, so that routers choose others first and send no hedges there.

--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -79,10 +79,15 @@
 
     @property
     def load(self) -> Load:
-        """Current load of the target."""
+        """Current load of the target.
+
+        While the rate that the target names allows no call, one counts as
+        queued, so that other nodes choose other targets.
+        """
+        has_to_wait = self.rates.named.wait_s(_now()) > 0
         return Load(
             self._running,
-            len(self._queue),
+            len(self._queue) or int(has_to_wait),
             self.rates.named.cap_running(self.limit, self._occupancy.mean_s),
             self._occupancy.mean_s * MS_PER_S,
             self._limiter.failure_share,
--- a/lycheespar/tests/admission/target_rate_tests.py
+++ b/lycheespar/tests/admission/target_rate_tests.py
@@ -12,10 +12,13 @@
 from lycheespar.admission.gate import Gate
 from lycheespar.admission.limiter import GateLimits, Limiter
 from lycheespar.errors import RefusedError, TargetLimitError
+from lycheespar.membership.records import MemberRecord
+from lycheespar.routing.table import TargetState
 from lycheespar.tests.admission.calls import make_call
 from lycheespar.tests.virtual_loop import VirtualLoop, run_virtual
 
 WINDOW_S = 4
+RECORD = MemberRecord('node', 1, 1, '127.0.0.1', 1, 2, 'ijmuiden', slots=14)
 HEAVY, LIGHT = 2, 1
 
 
@@ -108,6 +111,25 @@
     assert play.longest_refusal_s <= 0.2 + 1e-6
 
 
+def test_a_target_without_room_at_its_rate_does_not_look_free():
+    play = _Play()
+
+    async def scenario(loop: VirtualLoop) -> None:
+        play.gate.rates.named.set(4, loop.time())
+        await asyncio.sleep(0.3)
+        before = TargetState(RECORD)
+        before.update_load(play.gate.load, loop.time())
+        await play.gate.acquire(make_call())
+        play.gate.release(0.01)
+        after = TargetState(RECORD)
+        after.update_load(play.gate.load, loop.time())
+        assert before.is_free
+        assert not after.is_free
+        assert after.usage(loop.time()) >= 1 + before.usage(loop.time())
+
+    run_virtual(scenario)
+
+
 def test_calls_that_wait_start_when_the_limit_ends():
     play = _Play()
 
