--- a/lycheespar/tests/admission/suspects_tests.py
+++ b/lycheespar/tests/admission/suspects_tests.py
@@ -12,6 +12,8 @@
 )
 from lycheespar.membership.broadcast import BroadcastTable
 
+# Crashes of a request, and the retries that may reach targets after them.
+CRASHES_BEFORE_RETRIES, MAX_RETRIES = 3, 3
 CRASHING, HARMLESS, UNRELATED = b'k' * 16, b'i' * 16, b'o' * 16
 
 
@@ -95,6 +97,16 @@
     assert table.verdict(CRASHING) is Verdict.convicted
 
 
+def test_a_request_that_comes_for_many_minutes_ends_few_targets(table, clock):
+    crashes = 0
+    for _ in range(1800):
+        clock.now += 1
+        if table.verdict(CRASHING) is not Verdict.convicted:
+            table.report([CRASHING])
+            crashes += 1
+    assert crashes <= CRASHES_BEFORE_RETRIES + MAX_RETRIES
+
+
 def test_many_fingerprints_are_split_over_several_broadcasts(table):
     many = [bytes([number]) * 16 for number in range(60)]
     table.report(many)
