--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -31,7 +31,7 @@
 from lycheespar.targets.client import TargetClient
 from lycheespar.targets.load import LoadReport
 from lycheespar.targets.notices import read_notices
-from lycheespar.targets.shedding import refusal_error
+from lycheespar.targets.shedding import MISDIRECTED, refusal_error
 from lycheespar.telemetry.events import (
     TargetChanged,
     TargetLeaseExpired,
@@ -48,8 +48,6 @@
 # Time budget for probes of a target that limits its calls, in milliseconds per
 # second: about one probe, as its answers to calls show its load as well.
 LIMITED_PROBE_BUDGET_MS_PER_S: Final = 6
-# Status of an answer to a request that was addressed to another target.
-MISDIRECTED_STATUS: Final = 421
 # Time in seconds for which a target that may have turned cold is treated as
 # cold. It covers a few probes at the usual rate; a load report that says
 # otherwise ends it earlier.
@@ -258,7 +256,7 @@
         except DeadlineExceededError:
             self._record_timeout(call, _now() - sent_at)
             raise
-        if answer.status != MISDIRECTED_STATUS:
+        if answer.status != MISDIRECTED:
             self._notices.process(
                 announcement,
                 read_notices(
