Crash suspects: each failed trial multiplies the time until the next one

Callers: a request that crashes its targets and is repeated for minutes ended a target each minute. Cause: a conviction lapsed 60 s after the newest crash, however many trials had failed.

--- a/lycheespar/telemetry/crash_events.py
+++ b/lycheespar/telemetry/crash_events.py
@@ -85,6 +85,26 @@
     crashes: tuple[str, ...]
 
 
+class TrialFailed(Event, frozen=True, tag='crash_trial_failed'):
+    """A convicted request was tried again and crashed its target again.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Fingerprint of the request, in hexadecimal.
+    failed_trials : int
+        Number of its trials that ended in a crash.
+    refused_s : float
+        Time in seconds until the next trial.
+    """
+
+    part: ClassVar[str] = 'admission'
+
+    fingerprint: str
+    failed_trials: int
+    refused_s: float
+
+
 class SuspectHandled(RequestEvent, frozen=True, tag='crash_verdict'):
     """A request was isolated or refused because of crashes.
 
--- a/lycheespar/tests/admission/suspects_tests.py
+++ b/lycheespar/tests/admission/suspects_tests.py
@@ -107,6 +107,65 @@
     assert crashes <= CRASHES_BEFORE_RETRIES + MAX_RETRIES
 
 
+def _fail_trials(table, clock, count):
+    """Convict a request and crash its target in so many trials."""
+    table.report([CRASHING])
+    table.report([CRASHING])
+    for _ in range(count):
+        clock.now += table.retry_after_s(CRASHING)
+        assert table.verdict(CRASHING) is Verdict.suspect
+        table.report([CRASHING])
+
+
+def test_each_failed_trial_lengthens_the_time_until_the_next_one(table, clock):
+    _fail_trials(table, clock, 1)
+    first = table.retry_after_s(CRASHING)
+    clock.now += first
+    table.report([CRASHING])
+    assert table.retry_after_s(CRASHING) > first > CONVICTION_S
+
+
+def test_a_trial_that_succeeds_ends_a_long_conviction(table, clock):
+    _fail_trials(table, clock, 2)
+    clock.now += table.retry_after_s(CRASHING)
+    table.clear(CRASHING)
+    assert table.verdict(CRASHING) is Verdict.clear
+
+
+def test_a_harmless_request_beside_a_failed_trial_is_not_convicted(
+    table, clock
+):
+    _fail_trials(table, clock, 1)
+    clock.now += table.retry_after_s(CRASHING)
+    table.report([CRASHING, HARMLESS])
+    assert table.verdict(HARMLESS) is Verdict.suspect
+
+
+def test_a_node_that_starts_late_learns_of_failed_trials_and_clearings(
+    clock,
+):
+    broadcasts = BroadcastTable(clock)
+    table = SuspectTable(broadcasts, clock)
+    _fail_trials(table, clock, 2)
+    clock.now += CRASH_RETENTION_S
+    late = _copy_of(broadcasts, clock)
+    assert late.verdict(CRASHING) is Verdict.convicted
+    assert late.retry_after_s(CRASHING) == table.retry_after_s(CRASHING)
+    clock.now += table.retry_after_s(CRASHING)
+    table.clear(CRASHING)
+    clock.now += CRASH_RETENTION_S
+    assert _copy_of(broadcasts, clock).verdict(CRASHING) is Verdict.clear
+
+
+def _copy_of(broadcasts, clock):
+    """Return the table of a node that receives all broadcasts now."""
+    received = BroadcastTable(clock)
+    table = SuspectTable(received, clock)
+    for broadcast in broadcasts.current:
+        received.receive(broadcast)
+    return table
+
+
 def test_many_fingerprints_are_split_over_several_broadcasts(table):
     many = [bytes([number]) * 16 for number in range(60)]
     table.report(many)
