Teams: keys of callers, their priority and name; uploads run at most once

A plan may hold teams now; a request on a route that is not public then needs a key of one of them (401 'unknown_key', 503 from a node that knows of a newer revision), and its target gets the team's name in place of the key. A team's priority goes before its route's. Without teams in the plan nothing changes. Quotas are read and kept, but not enforced yet.

--- a/lycheespar/configuration/routes.py
+++ b/lycheespar/configuration/routes.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from lycheespar.teams.profile import TeamProfile, team_problems
+
 Item = TypeVar('Item')
 
 # Highest `deadline_ms` of a route: ten minutes, as for the parameter
@@ -59,6 +61,8 @@
         Largest number of targets to which one request is sent.
     source : str
         The route as the operator sent it; returned when it is read.
+    public : bool
+        Whether requests need no key, even if the plan has teams.
     """
 
     name: str
@@ -71,6 +75,7 @@
     destinations: tuple[Destination, ...] = ()
     max_attempts: int = 1
     source: str = ''
+    public: bool = False
 
 
 class ServiceProfile(msgspec.Struct, frozen=True):
@@ -136,12 +141,15 @@
         Services by name.
     limits : CallerLimits
         Limits for callers.
+    teams : dict[str, TeamProfile]
+        Teams by name; without any, requests need no key.
     """
 
     label: int = 0
     routes: dict[str, HostRoute] = {}
     services: dict[str, ServiceProfile] = {}
     limits: CallerLimits = CallerLimits()
+    teams: dict[str, TeamProfile] = {}
 
 
 class PutRoutePlan(msgspec.Struct, frozen=True, tag='put_route_plan'):
@@ -160,7 +168,7 @@
 
 
 class PatchRoutePlan(msgspec.Struct, frozen=True, tag='patch_route_plan'):
-    """Adds, replaces and removes single routes and services of the plan.
+    """Adds, replaces and removes single items of the plan.
 
     Attributes
     ----------
@@ -176,6 +184,10 @@
         New limits for callers; None keeps the present ones.
     removed_routes, removed_services : tuple[str, ...]
         Names of the routes and services to remove.
+    teams : tuple[TeamProfile, ...]
+        Teams to add or to replace.
+    removed_teams : tuple[str, ...]
+        Names of the teams to remove.
     """
 
     label: int
@@ -185,6 +197,8 @@
     limits: CallerLimits | None = None
     removed_routes: tuple[str, ...] = ()
     removed_services: tuple[str, ...] = ()
+    teams: tuple[TeamProfile, ...] = ()
+    removed_teams: tuple[str, ...] = ()
 
 
 PlanChange = PutRoutePlan | PatchRoutePlan
@@ -215,6 +229,7 @@
             f'routes.{name}.{problem}'
             for problem in _route_problems(route, changed.services)
         )
+    yield from team_problems(changed.teams.values())
 
 
 def _apply_patch(plan: RoutePlan, change: PatchRoutePlan) -> RoutePlan:
@@ -227,6 +242,10 @@
         _without(routes, change.removed_routes),
         _without(services, change.removed_services),
         plan.limits if change.limits is None else change.limits,
+        _without(
+            plan.teams | {team.name: team for team in change.teams},
+            change.removed_teams,
+        ),
     )
 
 
@@ -248,6 +267,9 @@
     for service in change.removed_services:
         if service not in plan.services:
             yield f"removed_services: there is no service '{service}'"
+    for team in change.removed_teams:
+        if team not in plan.teams:
+            yield f"removed_teams: there is no team '{team}'"
 
 
 def _route_problems(
--- a/lycheespar/configuration/view.py
+++ b/lycheespar/configuration/view.py
@@ -17,6 +17,7 @@
 )
 from lycheespar.configuration.route_table import RouteTable
 from lycheespar.configuration.stamp import MS_PER_S, Stamp, boot_time_s
+from lycheespar.teams.key_table import KeyTable
 
 _NEVER: Final = float('-inf')
 
@@ -48,6 +49,7 @@
         '_configurations',
         '_confirmed_at',
         '_highest_known_revision',
+        '_keys',
         '_newer_stamps',
         '_received_at',
         '_reported_low_revision',
@@ -70,6 +72,7 @@
         self._configuration = configuration
         self._services = resolve_services(configuration)
         self._routes = RouteTable(configuration.plan.routes.values())
+        self._keys = KeyTable(configuration.plan.teams.values())
         self._received_at = clock()
         self._stamp = Stamp()
         self._highest_known_revision = configuration.revision
@@ -91,6 +94,11 @@
         """Services by name."""
         return self._services
 
+    @property
+    def keys(self) -> KeyTable:
+        """Keys of the teams in the route plan in force."""
+        return self._keys
+
     @property
     def routes(self) -> RouteTable:
         """Lookup table of the routes in the plan."""
@@ -139,6 +147,7 @@
         self._services = resolve_services(configuration)
         if configuration.plan is not self._configuration.plan:
             self._routes = RouteTable(configuration.plan.routes.values())
+            self._keys = KeyTable(configuration.plan.teams.values())
         self._configuration = configuration
         self._received_at = self._clock()
         if configuration.revision >= self._stamp.revision:
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -180,6 +180,13 @@
     status = 508
 
 
+class UnknownKeyError(RefusedError):
+    """The request has no key of a known team."""
+
+    code = 'unknown_key'
+    status = 401
+
+
 class UnknownServiceError(RefusedError):
     """No configured service or route matches the request."""
 
--- a/lycheespar/ingress/call_builder.py
+++ b/lycheespar/ingress/call_builder.py
@@ -17,6 +17,7 @@
     NoTargetError,
     RequestError,
     StaleConfigurationError,
+    UnknownKeyError,
     UnknownServiceError,
 )
 from lycheespar.ingress.body import read_body
@@ -28,6 +29,7 @@
 from lycheespar.ingress.request import CallerRequest
 from lycheespar.ingress.split import WeightedSplit
 from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
+from lycheespar.teams.profile import TeamProfile
 
 IDEMPOTENCY_KEY: Final = 'Idempotency-Key'
 TRACEPARENT: Final = 'traceparent'
@@ -166,6 +168,8 @@
             date.
         NoTargetError
             All destinations of the route have weight 0.
+        UnknownKeyError
+            The route needs the key of a team, and the request has none.
         BadRequestError
             A header is invalid, or the request's body ended early.
         BodyTooLargeError
@@ -187,12 +191,19 @@
         request: CallerRequest,
         route: HostRoute,
     ) -> Call:
-        """Build the call for a request that matches a route of the plan."""
+        """Build the call for a request that matches a route of the plan.
+
+        Raises
+        ------
+        UnknownKeyError
+            The route needs the key of a team, and the request has none.
+        """
         service = self._split.choose_service(route)
         if not service:
             raise NoTargetError(
                 f"all destinations of route '{route.name}' have weight 0",
             )
+        team = self._find_team(request, route)
         deadline = self._deadline(request, route.deadline_ms)
         body = await self._read_body(request)
         depth = call_depth(request.headers)
@@ -201,10 +212,12 @@
             service=service,
             method=request.method,
             path=request.raw_path,
-            headers=self._target_headers(request, depth, route.name),
+            headers=self._with_team(
+                self._target_headers(request, depth, route.name), team
+            ),
             body=body,
             request_class=route.name,
-            weight=1 / (1 + route.priority),
+            weight=1 / (1 + _priority(route, team)),
             idempotent=route.idempotent,
             deadline=deadline,
             fingerprint=_fingerprint(request, service, body),
@@ -252,6 +265,41 @@
             traceparent=headers.get(TRACEPARENT, ''),
         )
 
+    def _find_team(
+        self, request: CallerRequest, route: HostRoute
+    ) -> TeamProfile | None:
+        """Return the team that holds the request's key.
+
+        Raises
+        ------
+        UnknownKeyError
+            The key is missing or unknown, and the route is not public.
+        StaleConfigurationError
+            As above, but a newer configuration may know the key.
+        """
+        keys = self._configuration.keys
+        if not keys.requires_keys:
+            return None
+        given = request.headers.getall(self._profile.key, ())
+        team = keys.find(given[0]) if len(given) == 1 else None
+        if team is not None or route.public:
+            return team
+        if self._configuration.is_behind or not self._configuration.is_current:
+            raise StaleConfigurationError(
+                'the key is unknown, but the configuration may be out of date',
+            )
+        raise UnknownKeyError
+
+    def _with_team(self, pairs: Headers, team: TeamProfile | None) -> Headers:
+        """Replace the key of a request by the name of its team."""
+        if not self._configuration.keys.requires_keys:
+            return pairs
+        hidden = {self._profile.key.lower(), self._profile.team.lower()}
+        kept = tuple(pair for pair in pairs if pair[0].lower() not in hidden)
+        if team is None:
+            return kept
+        return (*kept, (self._profile.team, team.name))
+
     def _require_known_service(self, host: str) -> None:
         """Refuse a host whose service the configuration doesn't have.
 
@@ -347,6 +395,16 @@
     return route.request_class or DEFAULT_CLASS
 
 
+def _priority(route: HostRoute, team: TeamProfile | None) -> int:
+    """Return the priority of a request: its team's if that has one.
+
+    Priorities below 0 count as 0, the highest one.
+    """
+    if team is None or team.priority is None:
+        return max(route.priority, 0)
+    return max(team.priority, 0)
+
+
 def _objective_margin_s(route: HostRoute) -> float:
     """Return the time between the objective and the deadline of a request.
 
--- a/lycheespar/platform/documents.py
+++ b/lycheespar/platform/documents.py
@@ -22,12 +22,14 @@
     parse_s,
     parse_version,
 )
+from lycheespar.teams.profile import TeamProfile
 
 # Whether requests of a route may run more than once, by the type of the route.
 _IDEMPOTENT_BY_ROUTE_TYPE: Final = {
     'idempotent': True,
     'non_idempotent': False,
     'download': True,
+    'upload': False,
 }
 
 
@@ -48,6 +50,7 @@
             {route.name: route for route in resources.routes},
             {profile.name: profile for profile in resources.services},
             resources.limits or CallerLimits(),
+            {team.name: team for team in resources.teams},
         ),
         base,
     )
@@ -76,6 +79,8 @@
         resources.limits,
         _removed_names(remove, 'routes'),
         _removed_names(remove, 'services'),
+        tuple(resources.teams),
+        _removed_names(remove, 'tenants'),
     )
 
 
@@ -88,6 +93,7 @@
         (
             *(route.source for route in plan.routes.values()),
             *(profile.source for profile in plan.services.values()),
+            *(team.source for team in plan.teams.values()),
             *((plan.limits.source,) if plan.limits.source else ()),
         ),
     )
@@ -106,6 +112,7 @@
     def __init__(self, given: Any) -> None:
         self.routes: list[HostRoute] = []
         self.services: list[ServiceProfile] = []
+        self.teams: list[TeamProfile] = []
         self.limits: CallerLimits | None = None
         if not isinstance(given, list):
             raise ChangeInvalidError(('resources: must be a list',))
@@ -131,6 +138,10 @@
                 self.services.append(
                     _decode_service(_require_name(name), spec, source)
                 )
+            case 'tenants':
+                self.teams.append(
+                    _decode_team(_require_name(name), spec, source)
+                )
             case 'limits':
                 self.limits = _decode_limits(spec, source)
             case other:
@@ -152,6 +163,7 @@
         destinations=tuple(_decode_destinations(spec)),
         max_attempts=max(_require_integer(spec['max_attempts']), 1),
         source=source,
+        public=spec.get('public', False) is True,
     )
 
 
@@ -182,6 +194,22 @@
     )
 
 
+def _decode_team(
+    name: str,
+    spec: Mapping[str, Any],
+    source: str,
+) -> TeamProfile:
+    priority = spec.get('priority')
+    return TeamProfile(
+        name=name,
+        keys=_require_keys(spec['api_keys']),
+        priority=None if priority is None else _require_integer(priority),
+        calls_per_s=_require_number(spec.get('rate_per_s', 0)),
+        burst=_require_number(spec.get('burst', 0)),
+        source=source,
+    )
+
+
 def _decode_limits(spec: Mapping[str, Any], source: str) -> CallerLimits:
     return CallerLimits(
         max_header_bytes=_require_integer(spec['max_header_bytes']),
@@ -233,6 +261,15 @@
     return given
 
 
+def _require_keys(given: Any) -> tuple[str, ...]:
+    """Return the keys of a team; errors do not contain them."""
+    if not isinstance(given, list):
+        raise TypeError('api_keys is not a list')
+    if not all(isinstance(key, str) and key for key in given):
+        raise TypeError('api_keys has an entry that is not a key')
+    return tuple(given)
+
+
 def _require_number(given: Any) -> float:
     if isinstance(given, bool) or not isinstance(given, int | float):
         raise TypeError(f"'{given}' is not a number")
--- a/lycheespar/platform/headers.py
+++ b/lycheespar/platform/headers.py
@@ -17,5 +17,7 @@
     cold_ms='X-Lycheespar-Cold-Ms',
     rate_limit='Server-Limit',
     leaving='Server-Leaving',
+    key='Api-Key',
+    team='X-Lycheespar-Tenant-Name',
     integer_retry_after=False,
 )
--- a/lycheespar/profile.py
+++ b/lycheespar/profile.py
@@ -31,6 +31,10 @@
         From targets: calls per second that they take from all nodes together.
     leaving : str
         From targets: they are about to leave and take no new calls.
+    key : str
+        From callers: key that authenticates their team.
+    team : str
+        To targets: name of the caller's team.
     integer_retry_after : bool
         Whether ``Retry-After`` has whole seconds only, for callers that do not
         understand fractions.
@@ -46,6 +50,8 @@
     cold_ms: str = ''
     rate_limit: str = ''
     leaving: str = ''
+    key: str = 'X-Team-Key'
+    team: str = 'X-Team'
     integer_retry_after: bool = True
 
 
--- /dev/null
+++ b/lycheespar/teams/__init__.py
@@ -0,0 +1,1 @@
+"""Teams that call through the system: keys, priorities and shares."""
--- a/lycheespar/tests/platform/documents_tests.py
+++ b/lycheespar/tests/platform/documents_tests.py
@@ -48,6 +48,21 @@
     }
 
 
+def tenant(name='hule', **spec):
+    """Build a tenant in the platform's format."""
+    return {
+        'resource_type': 'tenants',
+        'metadata': {'name': name},
+        'spec': {
+            'api_keys': ['irth5', 'dded'],
+            'priority': 1,
+            'rate_per_s': 116,
+            'burst': 58.5,
+        }
+        | spec,
+    }
+
+
 LIMITS = {
     'resource_type': 'limits',
     'metadata': {},
@@ -145,3 +160,63 @@
 def test_malformed_version_is_invalid(version):
     with pytest.raises(ChangeInvalidError):
         decode_put(_body(document(version)))
+
+
+def test_tenants_become_teams_and_are_read_back_as_they_were_sent():
+    sent = document('0000000c', '00000000', route(), service(), tenant())
+    configuration = apply(Configuration(), decode_put(_body(sent)))
+    team = configuration.plan.teams['hule']
+    assert team.keys == ('irth5', 'dded')
+    assert (team.priority, team.calls_per_s, team.burst) == (1, 116, 58.5)
+    read = json.loads(encode_plan(configuration.plan))
+    assert read['resources'] == sent['resources']
+
+
+def test_a_patch_removes_tenants():
+    sent = document('0000000c', '00000000', route(), service(), tenant())
+    configuration = apply(Configuration(), decode_put(_body(sent)))
+    patch = {
+        'version': '0000000d',
+        'base_version': '0000000c',
+        'upsert': {'resources': [tenant('other', api_keys=['new'])]},
+        'remove': {'tenants': ['hule']},
+    }
+    configuration = apply(configuration, decode_patch(_body(patch)))
+    assert list(configuration.plan.teams) == ['other']
+
+
+def test_two_tenants_with_one_key_are_invalid():
+    sent = document('0000000c', '00000000', tenant(), tenant('other'))
+    with pytest.raises(ChangeInvalidError):
+        apply(Configuration(), decode_put(_body(sent)))
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        {'api_keys': 'secret'},
+        {'api_keys': ['secret', 5]},
+        {'rate_per_s': '5'},
+        {'rate_per_s': -1},
+        {'priority': 1.5},
+    ],
+)
+def test_an_invalid_tenant_is_refused_without_naming_its_keys(spec):
+    sent = document('0000000c', '00000000', tenant(**spec))
+    with pytest.raises(ChangeInvalidError) as caught:
+        apply(Configuration(), decode_put(_body(sent)))
+    assert 'secret' not in str(caught.value)
+
+
+def test_uploads_run_at_most_once():
+    sent = document(
+        '0000000c', '00000000', route(route_type='upload'), service()
+    )
+    plan = apply(Configuration(), decode_put(_body(sent))).plan
+    assert not plan.routes['r-1'].idempotent
+
+
+def test_public_routes_are_marked():
+    sent = document('0000000c', '00000000', route(public=True), service())
+    plan = apply(Configuration(), decode_put(_body(sent))).plan
+    assert plan.routes['r-1'].public
--- /dev/null
+++ b/lycheespar/tests/teams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the teams that call through the system."""
