Tests: a group of control hosts whose leader leads on while a new disk joins

Cause: the leader has no majority once the second host has crashed and steps down after 150 ms; if the new disk starts later than that, nobody tells it of the group.

--- a/lycheespar/tests/control/disks_tests.py
+++ b/lycheespar/tests/control/disks_tests.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lycheespar.control.peer_messages import LogPosition, RequestVote
+from lycheespar.control.peers import Timing
 from lycheespar.errors import (
     StorageFullError,
 )
@@ -18,6 +19,10 @@
     until,
 )
 
+# Election time-out, in seconds, of a group whose leader leads on for a while
+# without a majority.
+PATIENT_TIMING = Timing(TIMING.heartbeat_s, 10 * TIMING.election_timeout_s)
+
 
 async def test_two_hosts_with_lost_disks_do_not_form_a_new_group(hosts):
     """A new group would lose the changes that the third host still has."""
@@ -67,13 +72,18 @@
 
 
 async def test_new_disk_is_admitted_only_by_a_majority_of_the_old_voters(hosts):
+    # The leader must not step down before the new disk has heard from it.
+    for host in hosts.all:
+        host.timing = PATIENT_TIMING
+        host.crash()
+        host.start()
     await hosts.wait_until_settled()
     leader = await hosts.wait_for_leader()
     crashed, lost = (host for host in hosts.all if host is not leader)
     crashed.crash()
     lost.lose_disk()
     await until(lambda: lost.group.state.group)
-    await asyncio.sleep(TIMING.election_timeout_s * 4)
+    await asyncio.sleep(PATIENT_TIMING.election_timeout_s * 4)
     assert not lost.is_voter
     crashed.start()
     await until(lambda: lost.is_voter)
