Roll-outs: order in the replicated configuration, share, evidence, verdict, steps

No file of the product knew of a target's version; an order for a roll-out was refused with 404 and a new version got calls as soon as it announced itself. New package lycheespar/rollouts, in force where the settings give an exposure share. Order, share and end are changes of the configuration; nodes beside the targets report totals of outcomes and latencies; the leader compares the versions by cumulative sums and steps the share. The composition root of control hosts has its own module now, as app.py had too many imports.

Played without a network: bad at once, later, under load, on one route, slow; good on slow hosts and beside an ill old version. With the verdict switched off six of these tests fail.

--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -28,7 +28,7 @@
 from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.body import AnswerBody
-from lycheespar.targets.client import TargetClient
+from lycheespar.targets.client import Client
 from lycheespar.targets.load import LoadReport
 from lycheespar.targets.notices import read_notices
 from lycheespar.targets.shedding import MISDIRECTED, refusal_error
@@ -70,7 +70,7 @@
     stale_after_s : float
         Age in seconds above which the configuration is stale and calls are
         refused; infinite if stale configurations are served.
-    connect : Callable[[Announcement], TargetClient]
+    connect : Callable[[Announcement], Client]
         Creates the client for an announced target.
     profile : HeaderProfile
         Names of the HTTP headers.
@@ -103,7 +103,7 @@
         configuration: ConfigurationView,
         data_centre: str,
         stale_after_s: float,
-        connect: Callable[[Announcement], TargetClient],
+        connect: Callable[[Announcement], Client],
         profile: HeaderProfile = DEFAULT_PROFILE,
     ) -> None:
         """Subscribe to the target's announcements and the configuration."""
@@ -118,7 +118,7 @@
         self._limiter = Limiter()
         self._gate = Gate(self._limiter)
         self._notices = NoticeProcessor(target, self._gate)
-        self._client: TargetClient | None = None
+        self._client: Client | None = None
         self._announcement: Announcement | None = None
         self._parameters = Parameters()
         self._reported_load = ReportedLoad()
@@ -379,7 +379,7 @@
         self._reconnected_at = now
         self._replace_client(self._connect(announced))
 
-    def _replace_client(self, client: TargetClient | None) -> None:
+    def _replace_client(self, client: Client | None) -> None:
         old = self._client
         self._client = client
         if old is not None:
--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -1,14 +1,12 @@
-"""Composition root: creates and connects the components of a process."""
+"""Composition root of nodes: creates and connects their components."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 import time
-from collections.abc import Callable
 from functools import partial
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 import zmq.asyncio
 from loguru import logger
@@ -32,16 +30,16 @@
 from lycheespar.ingress.server import IngressServer
 from lycheespar.membership import own_records
 from lycheespar.membership.broadcast import BroadcastTable
-from lycheespar.membership.endpoint import HostPort
+from lycheespar.membership.endpoint import host_ports
 from lycheespar.membership.gossip import Gossip
 from lycheespar.membership.view import MembershipView
 from lycheespar.node_interfaces import (
     DefaultInterfaces,
     NodeInterfaces,
-    PortServer,
 )
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
+from lycheespar.rollouts.node import NodeRollouts
 from lycheespar.routing.attempts import AttemptRunner
 from lycheespar.routing.budget import RetryBudgets
 from lycheespar.routing.keyed import KeyedDispatch
@@ -49,20 +47,16 @@
 from lycheespar.routing.recall import OutcomeLookup
 from lycheespar.routing.router import Router
 from lycheespar.routing.suspects import SuspectDispatch, SuspectPlacement
-from lycheespar.settings.definitions import ControlSettings, NodeSettings
+from lycheespar.settings.definitions import NodeSettings
 from lycheespar.settings.options import Address
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.probes import Prober
 from lycheespar.telemetry.gauges import (
-    control_gauges,
     node_gauges,
     retry_and_gossip_gauges,
 )
 from lycheespar.telemetry.node_telemetry import Telemetry
 
-if TYPE_CHECKING:
-    from lycheespar.control.host import ControlHost
-
 log = logger.bind(part='app')
 
 
@@ -105,7 +99,7 @@
         self._broadcasts = BroadcastTable()
         self._gossip = Gossip(
             own_records.own_record(settings, incarnation),
-            _host_ports(settings.seeds),
+            host_ports(settings.seeds),
             self._members,
             self._configuration,
             self._broadcasts,
@@ -115,17 +109,28 @@
             self._configuration,
             settings.data_centre,
             float('inf') if settings.serve_stale else settings.stale_after_s,
-            self._telemetry.new_target_client,
+            lambda announcement: self._rollouts.wrap_client(
+                self._telemetry.new_target_client(announcement)
+            ),
             profile,
         )
         self._prober = Prober(self._target, self._executor, profile)
         self._claim_links: tuple[Link, ...] = ()
         self._key_records = KeyRecords()
         self._suspects = SuspectTable(self._broadcasts)
+        self._rollouts = NodeRollouts(
+            settings.name,
+            incarnation,
+            self._members,
+            self._configuration,
+            self._target,
+            enabled=settings.versions_by_order,
+        )
         self._suspect_placement = SuspectPlacement(
             settings.name,
             self._members,
             self._configuration,
+            self._rollouts.versions,
         )
         self._retry_budgets = RetryBudgets(
             settings.saved_retries,
@@ -197,6 +202,7 @@
             self._saved_configuration,
         )
         follower.start()
+        self._rollouts.start(lambda: directory.links)
         await self._start()
         tune_garbage_collector()
         self._serving = True
@@ -204,6 +210,7 @@
         await stopped.wait()
         self._serving = False
         await self._stop()
+        self._rollouts.stop()
         follower.stop()
         directory.close()
         context.destroy(linger=0)
@@ -211,7 +218,7 @@
 
     def replace_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Replace the gossip seeds after a change of the settings."""
-        self._gossip.seeds = _host_ports(seeds)
+        self._gossip.seeds = host_ports(seeds)
 
     def _is_ready(self) -> bool:
         """Return whether the node serves and has a configuration."""
@@ -220,7 +227,9 @@
     def _build_execution(self) -> Execution:
         """Build the chain that runs calls at this node's target."""
         guard = CrashGuard(
-            self._telemetry.wrap_execution(self._executor),
+            self._rollouts.wrap_execution(
+                self._telemetry.wrap_execution(self._executor)
+            ),
             self._target,
             self._suspects,
             self._suspect_placement.runs_here,
@@ -247,6 +256,7 @@
                 self._pool,
                 Picker(self._settings.data_centre, random.Random()),
                 lambda: self._executor.load,
+                self._rollouts.versions,
             ),
             self._configuration,
             self._retry_budgets,
@@ -316,96 +326,3 @@
         self._gossip.update_own_record(
             own_records.with_target(own, announcement),
         )
-
-
-class ControlApp:
-    """Control host process: replicated configuration and operators' API.
-
-    Parameters
-    ----------
-    settings : ControlSettings
-        Validated settings.
-    api : Callable[[ControlHost], PortServer] | None
-        Creates the server of the operators' API; `OperatorApi` if None.
-    """
-
-    def __init__(
-        self,
-        settings: ControlSettings,
-        api: Callable[[ControlHost], PortServer] | None = None,
-    ) -> None:
-        """Create an idle control host; `run` starts it."""
-        self._settings = settings
-        self._api = api
-        self._gossip: Gossip | None = None
-
-    async def run(self, stopped: asyncio.Event) -> None:
-        """Serve until the event is set, then stop."""
-        from lycheespar.control.api import OperatorApi  # noqa: PLC0415
-        from lycheespar.control.host import ControlHost  # noqa: PLC0415
-
-        settings = self._settings
-        context = zmq.asyncio.Context()
-        host = ControlHost(settings, context)
-        api = (self._api or OperatorApi)(host)
-        gossip = self._build_gossip(host)
-        metrics_server = self._build_metrics_server(host)
-        await host.start()
-        if gossip is not None:
-            await gossip.start()
-        if metrics_server is not None:
-            await metrics_server.start(settings.metrics)
-        await api.start(settings.http)
-        log.info("Control host '{}' is serving.", settings.name)
-        await stopped.wait()
-        await api.stop()
-        if metrics_server is not None:
-            await metrics_server.stop()
-        if gossip is not None:
-            await gossip.stop()
-        host.stop()
-        context.destroy(linger=0)
-
-    def replace_seeds(self, seeds: tuple[Address, ...]) -> None:
-        """Replace the gossip seeds after a change of the settings."""
-        if self._gossip is not None:
-            self._gossip.seeds = _host_ports(seeds)
-
-    def _build_metrics_server(self, host: ControlHost) -> PortServer | None:
-        """Create the metrics server if the settings enable it."""
-        if self._settings.metrics is None:
-            return None
-        from lycheespar.telemetry.exposition import (  # noqa: PLC0415
-            MetricsServer,
-        )
-        from lycheespar.telemetry.metrics import Metrics  # noqa: PLC0415
-
-        metrics = Metrics(self._settings.statsd, self._settings.name)
-        metrics.add_gauges(partial(control_gauges, host.group))
-        return MetricsServer(metrics)
-
-    def _build_gossip(self, host: ControlHost) -> Gossip | None:
-        """Create the gossip endpoint of this host if the settings enable it.
-
-        Through gossip, nodes find the control hosts, and control hosts find
-        each other.
-        """
-        from lycheespar.control.stamps import GroupStamps  # noqa: PLC0415
-
-        settings = self._settings
-        if settings.gossip is None:
-            return None
-        members = MembershipView()
-        members.changes.subscribe(host.add_peer)
-        self._gossip = Gossip(
-            own_records.control_record(settings, host.address, time.time_ns()),
-            _host_ports(settings.seeds),
-            members,
-            GroupStamps(host.group),
-            BroadcastTable(),
-        )
-        return self._gossip
-
-
-def _host_ports(seeds: tuple[Address, ...]) -> tuple[HostPort, ...]:
-    return tuple((seed.host, seed.port) for seed in seeds)
--- a/lycheespar/commands/hosted.py
+++ b/lycheespar/commands/hosted.py
@@ -57,7 +57,7 @@
 
 def serve_hosted_control() -> None:
     """Run a control host with the settings file of the platform."""
-    from lycheespar.app import ControlApp  # noqa: PLC0415
+    from lycheespar.control_app import ControlApp  # noqa: PLC0415
     from lycheespar.platform.operators import (  # noqa: PLC0415
         OperatorServer,
     )
--- a/lycheespar/commands/serve.py
+++ b/lycheespar/commands/serve.py
@@ -26,7 +26,7 @@
 
 def serve_control(path: Path) -> None:
     """Run a control host with the settings in a file."""
-    from lycheespar.app import ControlApp  # noqa: PLC0415
+    from lycheespar.control_app import ControlApp  # noqa: PLC0415
 
     settings = ControlSettings.load(path)
     run_until_stopped(settings, lambda stop: ControlApp(settings).run(stop))
--- a/lycheespar/configuration/changes.py
+++ b/lycheespar/configuration/changes.py
@@ -14,6 +14,7 @@
     Team,
     TeamService,
     Template,
+    resolve_services,
 )
 from lycheespar.configuration.routes import (
     PatchRoutePlan,
@@ -23,6 +24,14 @@
     plan_problems,
 )
 from lycheespar.errors import ChangeInvalidError
+from lycheespar.rollouts.order import (
+    EndRollout,
+    RolloutChange,
+    StartRollout,
+    StepRollout,
+    apply_rollout_change,
+    rollout_problems,
+)
 
 # Longest time in seconds for which an idempotency key may be remembered.
 MAX_KEY_RETENTION_S: Final = 3600
@@ -103,6 +112,7 @@
     | TakeOutTarget
     | ReturnTarget
     | PlanChange
+    | RolloutChange
 )
 
 
@@ -194,6 +204,10 @@
             yield from _name_problems('name', name)
         case PutRoutePlan() | PatchRoutePlan():
             yield from plan_problems(configuration.plan, change)
+        case StartRollout() | StepRollout() | EndRollout():
+            yield from rollout_problems(
+                configuration.rollouts, resolve_services(configuration), change
+            )
 
 
 def _apply_change(
@@ -204,6 +218,7 @@
     data_centres = configuration.data_centres_out
     targets = configuration.targets_out
     plan = configuration.plan
+    rollouts = configuration.rollouts
     match change:
         case PutTemplate(template):
             templates = templates | {template.name: template}
@@ -223,8 +238,16 @@
             targets = targets - {name}
         case PutRoutePlan() | PatchRoutePlan():
             plan = apply_plan_change(plan, change)
+        case StartRollout() | StepRollout() | EndRollout():
+            rollouts = apply_rollout_change(rollouts, change)
     return Configuration(
-        configuration.revision, templates, teams, data_centres, targets, plan
+        configuration.revision,
+        templates,
+        teams,
+        data_centres,
+        targets,
+        plan,
+        rollouts,
     )
 
 
--- a/lycheespar/configuration/model.py
+++ b/lycheespar/configuration/model.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lycheespar.configuration.routes import RoutePlan, ServiceProfile
+from lycheespar.rollouts.order import Rollout
 
 DEFAULT_CLASS: Final = 'default'
 # Queue limit at each target of a service in the plan: twice the slots that
@@ -173,6 +174,8 @@
         Identities of the targets that are taken out.
     plan : RoutePlan
         Route plan, which routes by host and path.
+    rollouts : dict[str, Rollout]
+        Latest roll-out of each service that had one.
     """
 
     revision: int = 0
@@ -181,6 +184,7 @@
     data_centres_out: frozenset[str] = frozenset()
     targets_out: frozenset[str] = frozenset()
     plan: RoutePlan = RoutePlan()
+    rollouts: dict[str, Rollout] = {}
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -9,6 +9,8 @@
 import zmq.asyncio
 from loguru import logger
 
+from lycheespar.configuration.changes import Command
+from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.stamp import MS_PER_S
 from lycheespar.control.claims import ClaimStore
 from lycheespar.control.group import Group
@@ -17,13 +19,17 @@
     Claim,
     ControlReply,
     ControlRequest,
+    EvidenceNoted,
     Failure,
     Pull,
     PullReply,
     Release,
+    ReportEvidence,
 )
 from lycheespar.control.peer_messages import (
+    AskEvidence,
     AskProgress,
+    EvidenceReply,
     PeerReply,
     PeerRequest,
     ProgressReply,
@@ -38,6 +44,8 @@
 from lycheespar.control.storage import Storage
 from lycheespar.errors import ControlError, NotCurrentError
 from lycheespar.membership.records import Liveness, MemberRecord
+from lycheespar.rollouts.collection import EvidenceTable
+from lycheespar.rollouts.evidence import TargetEvidence
 from lycheespar.settings.definitions import ControlSettings
 from lycheespar.settings.options import Address
 
@@ -105,6 +113,7 @@
             ),
         )
         self._progress = ProgressTracker()
+        self._evidence = EvidenceTable()
         self._server: LinkServer[HostRequest, HostReply] = LinkServer(
             context,
             HostRequest,
@@ -154,6 +163,42 @@
                     nodes.extend(others)
         return build_report(revision, nodes)
 
+    @property
+    def leading(self) -> bool:
+        """Whether this host leads its group."""
+        return self.group.leading
+
+    @property
+    def configuration(self) -> Configuration:
+        """The newest configuration that this host knows to be committed."""
+        return self.group.state.configuration
+
+    async def submit(self, command: Command) -> int:
+        """Submit a command and return the revision that it created."""
+        return await self.group.submit(command)
+
+    async def evidence(self) -> tuple[TargetEvidence, ...]:
+        """Return the newest evidence that all reachable hosts have."""
+        async for _, reply in ask_all(
+            self._links,
+            self.group.roster.others,
+            AskEvidence(),
+            self._timing.reply_timeout_s,
+        ):
+            match reply:
+                case EvidenceReply(reports):
+                    self._evidence.add(*reports)
+        return self._running_evidence()
+
+    def _running_evidence(self) -> tuple[TargetEvidence, ...]:
+        """Return the evidence on roll-outs that have not ended."""
+        self._evidence.keep_services(
+            rollout.service
+            for rollout in self.configuration.rollouts.values()
+            if rollout.is_running
+        )
+        return self._evidence.reports
+
     async def _answer(self, request: HostRequest) -> HostReply:
         try:
             return await self._dispatch(request)
@@ -168,6 +213,11 @@
                 return await self._claims.handle(request)
             case AskProgress():
                 return ProgressReply(self._progress.nodes)
+            case ReportEvidence(evidence):
+                self._evidence.add(evidence)
+                return EvidenceNoted()
+            case AskEvidence():
+                return EvidenceReply(self._running_evidence())
             case _:
                 return await self.group.handle(request)
 
--- a/lycheespar/control/messages.py
+++ b/lycheespar/control/messages.py
@@ -11,6 +11,7 @@
 from lycheespar.configuration.changes import Change
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.stamp import Stamp
+from lycheespar.rollouts.evidence import TargetEvidence
 
 
 class Pull(msgspec.Struct, frozen=True, tag='pull'):
@@ -99,6 +100,16 @@
     claim: Claim
 
 
+class ReportEvidence(msgspec.Struct, frozen=True, tag='report_evidence'):
+    """Report of a node on the calls at its target during a roll-out."""
+
+    evidence: TargetEvidence
+
+
+class EvidenceNoted(msgspec.Struct, frozen=True, tag='evidence_noted'):
+    """Reply to `ReportEvidence`."""
+
+
 class Failure(msgspec.Struct, frozen=True, tag='failure'):
     """Reply to a request that failed.
 
@@ -114,5 +125,5 @@
     detail: str
 
 
-ControlRequest = Pull | Claim | Release
-ControlReply = PullReply | ClaimReply | Failure
+ControlRequest = Pull | Claim | Release | ReportEvidence
+ControlReply = PullReply | ClaimReply | EvidenceNoted | Failure
--- a/lycheespar/control/peer_messages.py
+++ b/lycheespar/control/peer_messages.py
@@ -13,6 +13,7 @@
 from lycheespar.control.entries import LogEntry, Voters
 from lycheespar.control.messages import Failure
 from lycheespar.control.state import CommandOutcome, GroupState
+from lycheespar.rollouts.evidence import TargetEvidence
 
 
 class LogPosition(msgspec.Struct, frozen=True, array_like=True):
@@ -262,6 +263,16 @@
     nodes: tuple[NodeProgress, ...]
 
 
+class AskEvidence(msgspec.Struct, frozen=True, tag='ask_evidence'):
+    """Asks for the evidence on versions that nodes have reported."""
+
+
+class EvidenceReply(msgspec.Struct, frozen=True, tag='evidence_reply'):
+    """Reply to `AskEvidence`."""
+
+    reports: tuple[TargetEvidence, ...]
+
+
 PeerRequest = (
     Identify
     | Join
@@ -272,6 +283,7 @@
     | AskReadIndex
     | Propose
     | AskProgress
+    | AskEvidence
 )
 PeerReply = (
     Identified
@@ -282,5 +294,6 @@
     | ReadIndex
     | Proposed
     | ProgressReply
+    | EvidenceReply
     | Failure
 )
--- a/lycheespar/membership/endpoint.py
+++ b/lycheespar/membership/endpoint.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from typing import Any, Final
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any, Final
 
 from lycheespar.membership.budget import HEADER_BYTES, ByteBudget
 from lycheespar.membership.messages import (
@@ -17,6 +17,9 @@
 )
 from lycheespar.membership.update_queue import UpdateQueue
 
+if TYPE_CHECKING:
+    from lycheespar.settings.options import Address
+
 HostPort = tuple[str, int]
 # Size of a ping or an acknowledgement without updates.
 _EMPTY_DATAGRAM_BYTES: Final = 120
@@ -164,3 +167,8 @@
 
 def _table_budget(now: float) -> ByteBudget:
     return ByteBudget(now, TABLE_BYTES_PER_S, TABLE_BURST_BYTES)
+
+
+def host_ports(addresses: Iterable[Address]) -> tuple[HostPort, ...]:
+    """Return addresses in the form that sockets take."""
+    return tuple((address.host, address.port) for address in addresses)
--- a/lycheespar/membership/own_records.py
+++ b/lycheespar/membership/own_records.py
@@ -52,14 +52,16 @@
 ) -> MemberRecord:
     """Return the record with the announced target, or without a target."""
     if announcement is None:
-        return _retarget(record, '', '', Phase.absent, 0)
-    return _retarget(
+        absent = _retarget(record, '', '', Phase.absent, 0)
+        return replace(absent, target_version='')
+    retargeted = _retarget(
         record,
         announcement.service_name,
         announcement.target,
         announcement.membership_phase,
         announcement.slots,
     )
+    return replace(retargeted, target_version=announcement.version)
 
 
 def _retarget(
--- a/lycheespar/membership/view.py
+++ b/lycheespar/membership/view.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from msgspec.structs import replace
@@ -35,6 +36,7 @@
         '_records',
         '_subject',
         '_tombstones',
+        '_versions',
     )
 
     def __init__(self) -> None:
@@ -42,6 +44,7 @@
         self._records: dict[str, MemberRecord] = {}
         self._node_count = 0
         self._by_service: dict[str, dict[str, MemberRecord]] = {}
+        self._versions: dict[str, Counter[str]] = {}
         self._buckets: list[set[str]] = [set() for _ in range(BUCKETS)]
         self._checksums = [0 for _ in range(BUCKETS)]
         self._tombstones: dict[str, MemberRecord] = {}
@@ -86,6 +89,10 @@
         """Return the records of the nodes that have a target of a service."""
         return self._by_service.get(service, {}).values()
 
+    def versions_of_service(self, service: str) -> Mapping[str, int]:
+        """Return the number of a service's targets by their version."""
+        return self._versions.get(service, {})
+
     def verdict(self, node: str) -> Verdict | None:
         """Return the verdict on a node, also on a removed one."""
         known = self._records.get(node) or self._tombstones.get(node)
@@ -166,6 +173,8 @@
         if record.service:
             same_service = self._by_service.setdefault(record.service, {})
             same_service[record.node] = record
+            versions = self._versions.setdefault(record.service, Counter())
+            versions[record.target_version] += 1
 
     def _discard(self, record: MemberRecord) -> None:
         self._node_count -= not record.control_port
@@ -173,6 +182,11 @@
         self._buckets[index].discard(record.node)
         self._checksums[index] ^= _checksum_of(record)
         self._by_service.get(record.service, {}).pop(record.node, None)
+        versions = self._versions.get(record.service)
+        if versions is not None:
+            versions[record.target_version] -= 1
+            if not versions[record.target_version]:
+                versions.pop(record.target_version)
 
 
 def _bucket_of(node: str) -> int:
--- a/lycheespar/platform/documents.py
+++ b/lycheespar/platform/documents.py
@@ -22,6 +22,7 @@
     parse_s,
     parse_version,
 )
+from lycheespar.rollouts.order import StartRollout
 from lycheespar.teams.profile import TeamProfile
 
 # Whether requests of a route may run more than once, by the type of the route.
@@ -84,6 +85,25 @@
     )
 
 
+def decode_rollout(body: bytes) -> StartRollout:
+    """Decode an order to roll out a version.
+
+    Raises
+    ------
+    ChangeInvalidError
+        Some part of the document is invalid.
+    """
+    given = _decode_object(body)
+    try:
+        return StartRollout(
+            _require_text(given['service']),
+            _require_text(given['target_version']),
+            parse_s(given['duration']),
+        )
+    except _DECODING_ERRORS as error:
+        raise ChangeInvalidError((repr(error),)) from error
+
+
 def encode_plan(plan: RoutePlan) -> bytes:
     """Encode a plan as a configuration document of the platform.
 
--- a/lycheespar/platform/heartbeats.py
+++ b/lycheespar/platform/heartbeats.py
@@ -212,6 +212,7 @@
             incarnation=str(heartbeat.started_at_ms),
             lease_s=self._lease_s,
             cold_s=cold_s,
+            version=info.version,
         )
 
     def _record_if_newer(
--- a/lycheespar/platform/operators.py
+++ b/lycheespar/platform/operators.py
@@ -21,9 +21,16 @@
     ChangeInvalidError,
     ControlError,
     RequestInvalidError,
+    UnknownNameError,
+)
+from lycheespar.platform.documents import (
+    decode_patch,
+    decode_put,
+    decode_rollout,
+    encode_plan,
 )
-from lycheespar.platform.documents import decode_patch, decode_put, encode_plan
 from lycheespar.platform.rpc import is_rpc_call, rpc_response
+from lycheespar.rollouts.order import StartRollout
 from lycheespar.settings.options import Address
 from lycheespar.telemetry.events import OperatorCallEnded, events
 
@@ -81,6 +88,8 @@
                 body=encode_plan(state.configuration.plan),
                 content_type='application/json',
             )
+        if call == 'rollouts.get':
+            return await self._get_rollout(request.query.get('of', ''))
         body = await request.content.read(MAX_BODY_BYTES)
         while not request.content.at_eof() and len(body) < MAX_BODY_BYTES:
             body += await request.content.read(MAX_BODY_BYTES)
@@ -95,6 +104,19 @@
         events.write(OperatorCallEnded(call, 200, '', revision))
         return rpc_response(200)
 
+    async def _get_rollout(self, service: str) -> web.Response:
+        """Return the state of the latest roll-out of a service."""
+        state = await self._control_group.read()
+        rollout = state.configuration.rollouts.get(service)
+        if rollout is None:
+            raise UnknownNameError(f"service '{service}' had no roll-out")
+        return web.json_response(
+            {
+                'state': rollout.state.value,
+                'target_version': rollout.version,
+            }
+        )
+
 
 def _decode_change(call: str, data_centre: str, body: bytes) -> Change:
     """Decode the change that a call requests.
@@ -120,6 +142,8 @@
             return decode_put(body)
         case 'config.patch':
             return decode_patch(body)
+        case 'rollouts.start':
+            return decode_rollout(body)
         case 'evacuate.start':
             return TakeOutDataCentre(data_centre)
         case 'evacuate.end':
@@ -132,12 +156,11 @@
     """Return the id of a change.
 
     Copies of a call that changes the plan get the same id, so that a call that
-    is sent again is applied only once. A call that takes a data centre out or
-    returns it is idempotent, and the same call may be needed again later, so
-    each copy of it gets an id of its own.
+    is sent again is applied only once. The other calls are idempotent, and the
+    same one may be needed again later, so each copy gets an id of its own.
     """
     match change:
-        case TakeOutDataCentre() | ReturnDataCentre():
+        case TakeOutDataCentre() | ReturnDataCentre() | StartRollout():
             return uuid.uuid4().hex
         case _:
             return hashlib.sha256(call.encode() + b'\n' + body).hexdigest()
@@ -149,7 +172,7 @@
             return 400
         case ChangeConflictError():
             return 412
-        case RequestInvalidError():
+        case RequestInvalidError() | UnknownNameError():
             return 404
         case _:
             return 503
--- a/lycheespar/platform/settings.py
+++ b/lycheespar/platform/settings.py
@@ -92,6 +92,9 @@
         nodes together.
     extra_retries : float
         Repeated requests allowed at a service in addition to that share.
+    exposure_share : float
+        Largest share of a service's requests that a bad version may get while
+        it is rolled out; 0 if versions are not rolled out.
     """
 
     node: str
@@ -108,6 +111,7 @@
     tolerated_losses: int
     retry_share: float
     extra_retries: float
+    exposure_share: float
 
     def internal_address(self, host: str, offset: int) -> Address:
         """Return an address in the port range for traffic within the system."""
@@ -186,6 +190,7 @@
             # Changes must take effect in time only at nodes that can reach
             # the control hosts; other nodes serve the configuration they have.
             'serve_stale': True,
+            'versions_by_order': platform.exposure_share > 0,
             'most_retry_share': min(platform.retry_share * NODE_RETRY_SHARE, 1),
             'saved_retries': max(platform.extra_retries * SAVED_RETRY_SHARE, 1),
             'drain_s': platform.grace_s * DRAIN_SHARE,
@@ -228,6 +233,7 @@
             'replace_after_s': REPLACE_AFTER_S,
             'least_voters': 2 * platform.tolerated_losses + 1,
             'operation_timeout_s': OPERATION_TIMEOUT_S,
+            'exposure_share': platform.exposure_share,
             'founding': (
                 platform.first_start and platform.host in platform.seeds
             ),
@@ -298,6 +304,7 @@
                 'budget_extra_retries',
                 DEFAULT_EXTRA_RETRIES,
             ),
+            exposure_share=self._read_bound('exposure_share', 0),
         )
         if self._problems:
             raise SettingsError(tuple(self._problems))
--- /dev/null
+++ b/lycheespar/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs: moving a service to targets of a new version."""
--- a/lycheespar/routing/attempts.py
+++ b/lycheespar/routing/attempts.py
@@ -20,6 +20,7 @@
 )
 from lycheespar.membership.records import Liveness, MemberRecord, Phase
 from lycheespar.membership.view import MembershipView
+from lycheespar.rollouts.versions import VersionRouting
 from lycheespar.routing.picker import Picker
 from lycheespar.routing.pool import ChannelPool
 from lycheespar.routing.sizes import AnswerSizes
@@ -54,6 +55,8 @@
         Selects one of the eligible targets.
     local_load : Callable[[], Load]
         Returns the current load of the local target.
+    versions : VersionRouting
+        Tells which versions of a service's targets get calls.
     """
 
     __slots__ = (
@@ -66,6 +69,7 @@
         '_pool',
         '_sizes',
         '_table',
+        '_versions',
     )
 
     def __init__(
@@ -77,9 +81,11 @@
         pool: ChannelPool,
         picker: Picker,
         local_load: Callable[[], Load],
+        versions: VersionRouting,
     ) -> None:
         """Create a runner with an empty target table."""
         self._local_load = local_load
+        self._versions = versions
         self._sizes = AnswerSizes()
         self._node = node
         self._members = members
@@ -116,11 +122,17 @@
             Whether to return None unless the chosen target can start the call
             immediately and runs at about its usual pace.
         """
-        states = [
-            self._table.state(record)
+        eligible = [
+            record
             for record in self._members.records_of_service(call.service)
             if record.node not in tried and self._is_eligible(record)
         ]
+        states = [
+            self._table.state(record)
+            for record in self._versions.narrow(
+                call.service, eligible, first_attempt=not tried
+            )
+        ]
         if not states:
             return None
         loop = asyncio.get_running_loop()
--- a/lycheespar/routing/suspects.py
+++ b/lycheespar/routing/suspects.py
@@ -19,6 +19,7 @@
 )
 from lycheespar.membership.records import MemberRecord
 from lycheespar.membership.view import MembershipView
+from lycheespar.rollouts.versions import VersionRouting
 from lycheespar.routing.pool import ChannelPool
 from lycheespar.telemetry.crash_events import SuspectHandled
 from lycheespar.telemetry.events import events
@@ -38,24 +39,28 @@
         All known nodes.
     configuration : ConfigurationView
         Tells which targets and data centres are taken out.
+    versions : VersionRouting
+        Tells which versions of a service's targets get calls.
     """
 
-    __slots__ = ('_configuration', '_members', '_node')
+    __slots__ = ('_configuration', '_members', '_node', '_versions')
 
     def __init__(
         self,
         node: str,
         members: MembershipView,
         configuration: ConfigurationView,
+        versions: VersionRouting,
     ) -> None:
         """Create a selection as seen from the given node."""
+        self._versions = versions
         self._node = node
         self._members = members
         self._configuration = configuration
 
     def choose(self, service: str, fingerprint: bytes) -> MemberRecord | None:
         """Return the node for a suspect request; None without any target."""
-        eligible = (
+        eligible = [
             record
             for record in self._members.records_of_service(service)
             if record.accepts_calls
@@ -63,9 +68,9 @@
                 record.data_centre,
                 record.target,
             )
-        )
+        ]
         return max(
-            eligible,
+            self._versions.narrow(service, eligible, first_attempt=False),
             key=lambda record: _rendezvous_rank(record, fingerprint),
             default=None,
         )
--- a/lycheespar/settings/definitions.py
+++ b/lycheespar/settings/definitions.py
@@ -69,6 +69,10 @@
         'Whether new requests are accepted while the configuration is stale.',
         default=False,
     )
+    versions_by_order = Flag(
+        'Whether targets of a new version get requests only by a roll-out.',
+        default=False,
+    )
     data_folder: Option[Any] = Text(
         'Folder in which the last configuration is saved; without it none is.',
         None,
@@ -183,6 +187,12 @@
         10,
         low=0.1,
     )
+    exposure_share = Number(
+        'Largest share of the requests between the order and the deadline of '
+        'a roll-out that a bad version may get, 0 to 1; 0 disables roll-outs.',
+        0,
+        high=1,
+    )
     gossip: Option[Any] = IpAddress(
         'Address for gossip with the nodes, UDP; without it there is none.',
         None,
--- a/lycheespar/targets/announcement.py
+++ b/lycheespar/targets/announcement.py
@@ -38,6 +38,8 @@
         Path of the target's load endpoint; empty if it has none.
     cold_s : float
         Time for which the target stays cold, in seconds.
+    version : str
+        Version of the target's software.
     """
 
     target: str
@@ -51,6 +53,7 @@
     lease_s: float = 5
     load_path: str = ''
     cold_s: float = 0
+    version: str = ''
 
     @property
     def service_name(self) -> str:
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Final
+from typing import Final, Protocol
 
 import aiohttp
 from aiohttp import hdrs
@@ -51,6 +51,19 @@
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 
 
+class Client(Protocol):
+    """Client of the local target."""
+
+    async def send(self, call: Call, load: Load) -> Answer:
+        """Send a call and wait for the head of its answer."""
+
+    async def close_when_idle(self) -> None:
+        """Close all connections once no call is in progress."""
+
+    async def close(self) -> None:
+        """Close all connections now."""
+
+
 class TargetClient:
     """Sends calls to one target.
 
--- a/lycheespar/tests/platform/documents_tests.py
+++ b/lycheespar/tests/platform/documents_tests.py
@@ -9,7 +9,13 @@
 from lycheespar.configuration.changes import apply
 from lycheespar.configuration.model import Configuration
 from lycheespar.errors import ChangeInvalidError
-from lycheespar.platform.documents import decode_patch, decode_put, encode_plan
+from lycheespar.platform.documents import (
+    decode_patch,
+    decode_put,
+    decode_rollout,
+    encode_plan,
+)
+from lycheespar.rollouts.order import StartRollout
 
 
 def route(name='r-1', **spec):
@@ -220,3 +226,17 @@
     sent = document('0000000c', '00000000', route(public=True), service())
     plan = apply(Configuration(), decode_put(_body(sent))).plan
     assert plan.routes['r-1'].public
+
+
+def test_an_order_of_a_rollout_is_decoded():
+    order = {'service': 'records', 'target_version': 'v2', 'duration': '12s'}
+    assert decode_rollout(_body(order)) == StartRollout('records', 'v2', 12)
+
+
+@pytest.mark.parametrize(
+    'wrong', [{'duration': 'soon'}, {'service': 5}, {'target_version': None}]
+)
+def test_an_order_that_cannot_be_read_is_refused(wrong):
+    order = {'service': 'records', 'target_version': 'v2', 'duration': '12s'}
+    with pytest.raises(ChangeInvalidError):
+        decode_rollout(_body(order | wrong))
--- /dev/null
+++ b/lycheespar/tests/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of roll-outs."""
--- a/lycheespar/tests/routing/fakes.py
+++ b/lycheespar/tests/routing/fakes.py
@@ -21,6 +21,7 @@
 from lycheespar.errors import LycheesparError
 from lycheespar.membership.records import Liveness, MemberRecord, Phase
 from lycheespar.membership.view import MembershipView
+from lycheespar.rollouts.versions import VersionRouting
 from lycheespar.routing.attempts import AttemptRunner
 from lycheespar.routing.budget import RetryBudgets
 from lycheespar.routing.picker import Picker
@@ -154,5 +155,6 @@
         targets,
         picker,
         Load,
+        VersionRouting(members, configuration, random.Random(2), enabled=False),
     )
     return Router(attempts, configuration, budgets or RetryBudgets(40, 1))
--- a/lycheespar/tests/routing/site.py
+++ b/lycheespar/tests/routing/site.py
@@ -26,6 +26,7 @@
 from lycheespar.membership.view import MembershipView
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
+from lycheespar.rollouts.versions import VersionRouting
 from lycheespar.routing.attempts import AttemptRunner
 from lycheespar.routing.budget import RetryBudgets
 from lycheespar.routing.keyed import KeyedDispatch
@@ -153,6 +154,9 @@
                 self._pool,
                 Picker('ijmuiden', self._site.random),
                 Load,
+                VersionRouting(
+                    members, configuration, self._site.random, enabled=False
+                ),
             ),
             configuration,
             RetryBudgets(100, 1),
