Roll-outs: cold targets get no share and give no evidence

Their calls time out while they are cold, and calls that they make fail while their nodes learn of the others.

--- a/lycheespar/rollouts/evidence.py
+++ b/lycheespar/rollouts/evidence.py
@@ -168,7 +168,7 @@
             return
         if status >= MIN_FAILURE_STATUS:
             found.failures += 1
-        elif not self._is_cold:
+        else:
             _increment(found.answered, latency_s)
 
     def record_failure(self, route: str) -> None:
@@ -180,14 +180,9 @@
     def record_abandoned(self, route: str, waited_s: float) -> None:
         """Count a call that was given up without an answer."""
         found = self._route(route)
-        if found is not None and not self._is_cold:
+        if found is not None:
             _increment(found.abandoned, waited_s)
 
-    @property
-    def _is_cold(self) -> bool:
-        current = self._target.current
-        return current is None or current.phase == 'cold'
-
     def _active_target(self) -> Announcement | None:
         """Return the target if its service is rolled out.
 
@@ -202,7 +197,12 @@
         return current
 
     def _route(self, route: str) -> RouteEvidence | None:
-        if self._active_target() is None:
+        """Return the count of a route; None if its calls are no evidence.
+
+        Cold targets of any version are slow, and calls fail for that.
+        """
+        current = self._active_target()
+        if current is None or current.phase == 'cold':
             return None
         return self._routes.setdefault(route, RouteEvidence())
 
--- a/lycheespar/rollouts/versions.py
+++ b/lycheespar/rollouts/versions.py
@@ -9,7 +9,7 @@
 from lycheespar.call import Answer, Call, Execution
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.errors import OutOfServiceError
-from lycheespar.membership.records import MemberRecord
+from lycheespar.membership.records import MemberRecord, Phase
 from lycheespar.membership.view import MembershipView
 from lycheespar.rollouts.order import Rollout, RolloutState
 from lycheespar.targets.announcement import LocalTarget
@@ -18,8 +18,7 @@
 # sends nothing more to a version that is being rolled out. It is the time after
 # which a node counts as out of touch with the control hosts.
 SHARE_LEASE_S: Final = 3
-# Seed-independent start of the split: each node starts at a random phase, so
-# that the calls of many nodes with few calls each add up to the share.
+# Share with which all calls go to the new version.
 _WHOLE: Final = 1.0
 
 
@@ -59,7 +58,7 @@
         self._configuration = configuration
         self._random = source
         self._enabled = enabled
-        self._credits: dict[tuple[str, str], float] = {}
+        self._credits: dict[str, tuple[str, float]] = {}
 
     def narrow(
         self,
@@ -89,6 +88,9 @@
                 return records
             return _of_version(records, most_common_version(versions))
         new = _of_version(records, rollout.version)
+        if rollout.is_running and rollout.share < _WHOLE:
+            # The first calls judge the version, and cold targets are slow.
+            new = [record for record in new if record.phase is Phase.ready]
         if rollout.state is RolloutState.succeeded or not (
             versions.keys() - {rollout.version}
         ):
@@ -124,14 +126,14 @@
             return True
         if not first_attempt:
             return False
-        key = (rollout.service, rollout.version)
-        credit = self._credits.get(key)
-        if credit is None:
-            self._credits.clear()
+        version, credit = self._credits.get(rollout.service, ('', 0.0))
+        if version != rollout.version:
+            # At a random phase, so that the calls of many nodes with few calls
+            # each add up to the share.
             credit = self._random.random()
         credit += rollout.share
         is_due = credit >= 1
-        self._credits[key] = credit - is_due
+        self._credits[rollout.service] = (rollout.version, credit - is_due)
         return is_due
 
     def _has_share(self, rollout: Rollout) -> bool:
--- a/lycheespar/tests/rollouts/versions_tests.py
+++ b/lycheespar/tests/rollouts/versions_tests.py
@@ -122,6 +122,14 @@
     assert abs(exposed - expected) < 0.25 * expected
 
 
+def test_cold_targets_of_a_new_version_get_no_share():
+    site = _Site(replace(RUNNING, share=0.9))
+    for record in tuple(site.members.records_of_service(SERVICE)):
+        if record.target_version == NEW:
+            site.members.merge(replace(record, version=1, phase=Phase.cold))
+    assert site.count_new(50) == 0
+
+
 def test_retries_and_hedges_go_to_the_old_version():
     site = _Site(replace(RUNNING, share=0.9))
     assert all(site.versions(first=False) == {OLD} for _ in range(50))
