--- a/lycheespar/commands/operator_commands.py
+++ b/lycheespar/commands/operator_commands.py
@@ -9,6 +9,7 @@
 
 from lycheespar.commands.operator_options import change_options, read_options
 from lycheespar.configuration import changes
+from lycheespar.rollouts import order
 
 if TYPE_CHECKING:
     from types import ModuleType
@@ -16,6 +17,7 @@
     from lycheespar.commands.operator_actions import Options
 
 REVISION_HELP: Final = 'Revision to report on; default: the newest.'
+DURATION_HELP: Final = 'Time in seconds until all requests should have moved.'
 FILE_HELP: Final = 'FILE is a file of JSON with comments.'
 
 
@@ -158,6 +160,44 @@
     _make_change(arguments, changes.ReturnTarget(name))
 
 
+@click.group()
+def rollout() -> None:
+    """Move a service to targets of a new version, step by step."""
+
+
+@rollout.command('start')
+@click.argument('service')
+@click.argument('version')
+@click.option(
+    '--duration',
+    'duration_s',
+    type=click.FloatRange(0, order.MAX_DURATION_S, min_open=True),
+    required=True,
+    help=DURATION_HELP,
+)
+@change_options
+def start_rollout(
+    service: str, version: str, duration_s: float, **arguments: Any
+) -> None:
+    """Start a roll-out; its targets must run beside the old ones."""
+    _make_change(arguments, order.StartRollout(service, version, duration_s))
+
+
+@rollout.command('list')
+@read_options
+def list_rollouts(**arguments: Any) -> None:
+    """List the services that had a roll-out."""
+    _show_configuration(arguments, 'rollouts')
+
+
+@rollout.command('show')
+@click.argument('service')
+@read_options
+def show_rollout(service: str, **arguments: Any) -> None:
+    """Print the latest roll-out of a service, and why it ended."""
+    _show_configuration(arguments, 'rollouts', service)
+
+
 @click.command()
 @click.option('--revision', type=click.IntRange(0), help=REVISION_HELP)
 @read_options
@@ -175,5 +215,13 @@
 
 def add_operator_commands(cli: click.Group) -> None:
     """Add the operators' commands to the command line."""
-    for command in (template, team, take_out, return_, status, history):
+    for command in (
+        template,
+        team,
+        take_out,
+        return_,
+        rollout,
+        status,
+        history,
+    ):
         cli.add_command(command)
--- a/lycheespar/tests/commands/operator_actions_tests.py
+++ b/lycheespar/tests/commands/operator_actions_tests.py
@@ -151,6 +151,26 @@
             assert response.status == 422
 
 
+async def test_a_rollout_is_started_once_and_shown_with_its_state(api):
+    for path in sorted((EXAMPLES / 'vlotwacht').glob('template-*.json')):
+        await api.run('template', 'put', str(path))
+    await api.run('team', 'put', str(EXAMPLES / 'vlotwacht' / 'team.json'))
+    order = ('rollout', 'start', 'vlotwacht/certificates', 'v2')
+    started = await api.run(*order, '--duration', '60')
+    assert started.exit_code == 0, started.output
+    shown = await api.json('rollout', 'show', 'vlotwacht/certificates')
+    assert (shown['version'], shown['state']) == ('v2', 'running')
+    again = await api.run(*order, '--duration', '60')
+    assert again.exit_code == 0
+    other = await api.run(*order[:-1], 'v3', '--duration', '60')
+    assert other.exit_code == 3
+    assert "the roll-out of 'v2' is still running" in other.stderr
+    unknown = await api.run(
+        'rollout', 'start', 'none/none', 'v2', '--duration', '60'
+    )
+    assert "there is no service 'none/none'" in unknown.stderr
+
+
 async def test_a_change_id_takes_effect_once(api):
     first = await api.json('take-out', 'target', 'one', '--change-id', 'x')
     await api.json('take-out', 'target', 'two')
