Joining: a complete table of about the same size ends a node's wait; targets are published after it

Pages of a complete table carry its size, and a target is published only once its node accepts callers.

Commands of roll-outs have their own module.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -49,7 +49,7 @@
 from lycheespar.routing.suspects import SuspectDispatch, SuspectPlacement
 from lycheespar.settings.definitions import NodeSettings
 from lycheespar.settings.options import Address
-from lycheespar.targets.announcement import Announcement, LocalTarget
+from lycheespar.targets.announcement import LocalTarget
 from lycheespar.targets.probes import Prober
 from lycheespar.telemetry.gauges import (
     node_gauges,
@@ -168,7 +168,8 @@
             self._is_ready
         )
         self._serving = False
-        self._target.changes.subscribe(self._publish_target)
+        self._accepts_callers = False
+        self._target.changes.subscribe(lambda _: self._publish_target())
         self._telemetry.add_gauges(
             partial(
                 retry_and_gossip_gauges,
@@ -300,6 +301,8 @@
             settings.stale_after_s,
         )
         await self._ingress_server.start(settings.http)
+        self._accepts_callers = True
+        self._publish_target()
 
     async def _stop(self) -> None:
         """Finish the requests in progress, then close all ports."""
@@ -320,8 +323,15 @@
         await self._gossip.stop()
         await self._telemetry.stop()
 
-    def _publish_target(self, announcement: Announcement | None) -> None:
-        """Update this node's member record with the state of its target."""
+    def _publish_target(self) -> None:
+        """Update this node's member record with the state of its target.
+
+        A target is published once this node accepts callers: it calls other
+        services through this node.
+        """
+        announcement = self._target.current
+        if not self._accepts_callers:
+            announcement = None
         own = self._gossip.own_record
         self._gossip.update_own_record(
             own_records.with_target(own, announcement),
--- a/lycheespar/commands/operator_commands.py
+++ b/lycheespar/commands/operator_commands.py
@@ -9,7 +9,6 @@
 
 from lycheespar.commands.operator_options import change_options, read_options
 from lycheespar.configuration import changes
-from lycheespar.rollouts import order
 
 if TYPE_CHECKING:
     from types import ModuleType
@@ -17,7 +16,6 @@
     from lycheespar.commands.operator_actions import Options
 
 REVISION_HELP: Final = 'Revision to report on; default: the newest.'
-DURATION_HELP: Final = 'Time in seconds until all requests should have moved.'
 FILE_HELP: Final = 'FILE is a file of JSON with comments.'
 
 
@@ -36,13 +34,12 @@
     return options
 
 
-def _make_change(arguments: dict[str, Any], change: changes.Change) -> None:
+def run_change(arguments: dict[str, Any], change: changes.Change) -> None:
+    """Make a change with the options of a command."""
     _implementation().make_change(_build_options(arguments), change)
 
 
-def _show_configuration(
-    arguments: dict[str, Any], table: str, name: str = ''
-) -> None:
+def show_entries(arguments: dict[str, Any], table: str, name: str = '') -> None:
     _implementation().show_configuration(_build_options(arguments), table, name)
 
 
@@ -56,7 +53,7 @@
 @change_options
 def put_template(file: Path, **arguments: Any) -> None:
     """Create or replace a template."""
-    _make_change(arguments, _implementation().load_template(file))
+    run_change(arguments, _implementation().load_template(file))
 
 
 @template.command('remove')
@@ -64,14 +61,14 @@
 @change_options
 def remove_template(name: str, **arguments: Any) -> None:
     """Remove a template that no team uses."""
-    _make_change(arguments, changes.RemoveTemplate(name))
+    run_change(arguments, changes.RemoveTemplate(name))
 
 
 @template.command('list')
 @read_options
 def list_templates(**arguments: Any) -> None:
     """List the templates."""
-    _show_configuration(arguments, 'templates')
+    show_entries(arguments, 'templates')
 
 
 @template.command('show')
@@ -79,7 +76,7 @@
 @read_options
 def show_template(name: str, **arguments: Any) -> None:
     """Print a template."""
-    _show_configuration(arguments, 'templates', name)
+    show_entries(arguments, 'templates', name)
 
 
 @click.group()
@@ -92,7 +89,7 @@
 @change_options
 def put_team(file: Path, **arguments: Any) -> None:
     """Create or replace a team."""
-    _make_change(arguments, _implementation().load_team(file))
+    run_change(arguments, _implementation().load_team(file))
 
 
 @team.command('remove')
@@ -100,14 +97,14 @@
 @change_options
 def remove_team(name: str, **arguments: Any) -> None:
     """Remove a team."""
-    _make_change(arguments, changes.RemoveTeam(name))
+    run_change(arguments, changes.RemoveTeam(name))
 
 
 @team.command('list')
 @read_options
 def list_teams(**arguments: Any) -> None:
     """List the teams."""
-    _show_configuration(arguments, 'teams')
+    show_entries(arguments, 'teams')
 
 
 @team.command('show')
@@ -115,7 +112,7 @@
 @read_options
 def show_team(name: str, **arguments: Any) -> None:
     """Print the services and parameters of a team."""
-    _show_configuration(arguments, 'teams', name)
+    show_entries(arguments, 'teams', name)
 
 
 @click.group('take-out')
@@ -128,7 +125,7 @@
 @change_options
 def take_out_data_centre(name: str, **arguments: Any) -> None:
     """Take out a data centre; its targets get no new requests."""
-    _make_change(arguments, changes.TakeOutDataCentre(name))
+    run_change(arguments, changes.TakeOutDataCentre(name))
 
 
 @take_out.command('target')
@@ -136,7 +133,7 @@
 @change_options
 def take_out_target(name: str, **arguments: Any) -> None:
     """Take out a target; it gets no new requests."""
-    _make_change(arguments, changes.TakeOutTarget(name))
+    run_change(arguments, changes.TakeOutTarget(name))
 
 
 @click.group('return')
@@ -149,7 +146,7 @@
 @change_options
 def return_data_centre(name: str, **arguments: Any) -> None:
     """Return a data centre that was taken out."""
-    _make_change(arguments, changes.ReturnDataCentre(name))
+    run_change(arguments, changes.ReturnDataCentre(name))
 
 
 @return_.command('target')
@@ -157,45 +154,7 @@
 @change_options
 def return_target(name: str, **arguments: Any) -> None:
     """Return a target that was taken out."""
-    _make_change(arguments, changes.ReturnTarget(name))
-
-
-@click.group()
-def rollout() -> None:
-    """Move a service to targets of a new version, step by step."""
-
-
-@rollout.command('start')
-@click.argument('service')
-@click.argument('version')
-@click.option(
-    '--duration',
-    'duration_s',
-    type=click.FloatRange(0, order.MAX_DURATION_S, min_open=True),
-    required=True,
-    help=DURATION_HELP,
-)
-@change_options
-def start_rollout(
-    service: str, version: str, duration_s: float, **arguments: Any
-) -> None:
-    """Start a roll-out; its targets must run beside the old ones."""
-    _make_change(arguments, order.StartRollout(service, version, duration_s))
-
-
-@rollout.command('list')
-@read_options
-def list_rollouts(**arguments: Any) -> None:
-    """List the services that had a roll-out."""
-    _show_configuration(arguments, 'rollouts')
-
-
-@rollout.command('show')
-@click.argument('service')
-@read_options
-def show_rollout(service: str, **arguments: Any) -> None:
-    """Print the latest roll-out of a service, and why it ended."""
-    _show_configuration(arguments, 'rollouts', service)
+    run_change(arguments, changes.ReturnTarget(name))
 
 
 @click.command()
@@ -215,6 +174,10 @@
 
 def add_operator_commands(cli: click.Group) -> None:
     """Add the operators' commands to the command line."""
+    from lycheespar.commands.rollout_commands import (  # noqa: PLC0415
+        rollout,
+    )
+
     for command in (
         template,
         team,
--- a/lycheespar/membership/gossip.py
+++ b/lycheespar/membership/gossip.py
@@ -102,6 +102,7 @@
             own_now,
             members,
             self._endpoint,
+            lambda: self._synchronizer.has_synchronized,
         )
         self._synchronizer = Synchronizer(
             own_now,
@@ -174,9 +175,10 @@
             if record.node != self._own.node
             and record.liveness is Liveness.alive
         ]
-        if self._tracker.apply_table(others, page.sender):
-            now = asyncio.get_running_loop().time()
-            self._synchronizer.record_table_change(now)
+        changed = bool(self._tracker.apply_table(others, page.sender))
+        self._synchronizer.record_page(
+            asyncio.get_running_loop().time(), page.table_size, changed=changed
+        )
         for record in records:
             if record.node == self._own.node:
                 self._receive_verdict(record.verdict, sender)
--- a/lycheespar/membership/messages.py
+++ b/lycheespar/membership/messages.py
@@ -163,9 +163,13 @@
     ----------
     packed : bytes
         The records, as `pack_records` returns them.
+    table_size : int
+        Number of records in the sender's table, if it is complete and sent
+        whole; else 0.
     """
 
     packed: bytes
+    table_size: int = 0
 
 
 Datagram = (
--- a/lycheespar/membership/synchronization.py
+++ b/lycheespar/membership/synchronization.py
@@ -34,6 +34,10 @@
 # Number of members with an equal table after which the own one counts as
 # complete. Two nodes that have just started may know the same few members.
 EQUAL_MEMBERS: Final = 2
+# Share of the records of a complete table that a node must know. The rest
+# allows for a lost page of a small table and for members that are known as
+# dead there.
+COMPLETE_SHARE: Final = 0.95
 _PAGE_BYTES: Final = 1100
 
 
@@ -84,7 +88,7 @@
 
     @property
     def has_synchronized(self) -> bool:
-        """Whether the table has ever matched those of other members."""
+        """Whether the table has ever been complete, as other members' are."""
         return self._has_synchronized
 
     def record_equal_table(self, node: str) -> None:
@@ -97,10 +101,28 @@
             EQUAL_MEMBERS, others
         )
 
-    def record_table_change(self, now: float) -> None:
-        """Record that the table of a member had records that were missing."""
-        self._equal_members.clear()
-        self.schedule_soon(now, '')
+    def record_page(
+        self, now: float, table_size: int, *, changed: bool
+    ) -> None:
+        """Record a page of another member's table.
+
+        While members come and go, no two tables are equal for long. A table
+        of nearly the same size as a complete one is complete enough then.
+
+        Parameters
+        ----------
+        now : float
+            Instant of the event loop's clock, in seconds.
+        table_size : int
+            Records of the other table if it is complete, else 0.
+        changed : bool
+            Whether the page had records that were missing.
+        """
+        if changed:
+            self._equal_members.clear()
+            self.schedule_soon(now, '')
+        if table_size and len(self._members) >= table_size * COMPLETE_SHARE:
+            self._has_synchronized = True
 
     def is_due(self, now: float) -> bool:
         """Return whether a comparison is due, and schedule the next one.
--- a/lycheespar/membership/tables.py
+++ b/lycheespar/membership/tables.py
@@ -31,17 +31,21 @@
         Member table to send.
     endpoint : Endpoint
         Endpoint for sending datagrams.
+    is_complete : Callable[[], bool]
+        Whether the table has the records of all members.
     """
 
-    __slots__ = ('_endpoint', '_members', '_own', '_random')
+    __slots__ = ('_endpoint', '_is_complete', '_members', '_own', '_random')
 
     def __init__(
         self,
         own: Callable[[], MemberRecord],
         members: MembershipView,
         endpoint: Endpoint,
+        is_complete: Callable[[], bool],
     ) -> None:
         """Create a sender."""
+        self._is_complete = is_complete
         self._own = own
         self._members = members
         self._endpoint = endpoint
@@ -66,20 +70,25 @@
         # Similar records are compressed best next to each other.
         ordered = sorted(self._members.records, key=_node_of)
         starts = range(0, len(ordered), PAGE_RECORDS)
+        table_size = len(ordered) if self._is_complete() else 0
         for start in self._random.sample(starts, len(starts)):
-            self._send_page(ordered[start : start + PAGE_RECORDS], receiver)
+            page = ordered[start : start + PAGE_RECORDS]
+            self._send_page(page, receiver, table_size)
 
     def _send_page(
-        self, records: Sequence[MemberRecord], receiver: HostPort
+        self,
+        records: Sequence[MemberRecord],
+        receiver: HostPort,
+        table_size: int = 0,
     ) -> None:
         """Send records in one datagram, or in more if they don't fit."""
         packed = pack_records(records)
         if len(packed) > _PAGE_BYTES and len(records) > 1:
             middle = len(records) // 2
-            self._send_page(records[:middle], receiver)
-            self._send_page(records[middle:], receiver)
+            self._send_page(records[:middle], receiver, table_size)
+            self._send_page(records[middle:], receiver, table_size)
             return
-        page = TablePage(*sender_fields(self._own()), packed)
+        page = TablePage(*sender_fields(self._own()), packed, table_size)
         self._endpoint.send_page(page, receiver)
 
 
