Quotas of teams, kept by an owner among the nodes; pace in the evidence on versions

Quota: a team's limit was read and kept, but nothing counted. A node that is chosen by rendezvous hashing counts a team's calls; other nodes ask it over the channels, one small message a call. A part of the fleet below half owns nothing; a node that can't reach the owner has a reserve. Beyond the limit: 429 with the time of the next token. Played without a network: 78 nodes and 85 teams, a hot team, cut and raised limits, owners that end, restart or are silent, zones and halves that lose each other.

Latencies are divided by the pace now, and the sum for a verdict is 12.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -39,6 +39,10 @@
 )
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.server import ChannelServer
+from lycheespar.quotas.dispatch import QuotaDispatch
+from lycheespar.quotas.owner import QuotaOwner
+from lycheespar.quotas.reserve import QuotaReserve
+from lycheespar.quotas.ring import QuotaRing
 from lycheespar.rollouts.node import NodeRollouts
 from lycheespar.routing.attempts import AttemptRunner
 from lycheespar.routing.budget import RetryBudgets
@@ -136,6 +140,13 @@
             settings.saved_retries,
             settings.most_retry_share,
         )
+        quota_ring = QuotaRing(self._members)
+        self._quotas = QuotaOwner(
+            settings.name,
+            quota_ring,
+            self._configuration,
+            settings.quota_slack,
+        )
         hello = Hello(settings.name, incarnation, 0)
         self._pool = self._telemetry.new_channel_pool(
             hello,
@@ -150,7 +161,14 @@
                 self._interfaces.own_service,
             ),
             self._telemetry.wrap_dispatch(
-                self._build_dispatch(execution, incarnation),
+                QuotaDispatch(
+                    self._build_dispatch(execution, incarnation),
+                    self._configuration,
+                    quota_ring,
+                    self._quotas,
+                    self._pool,
+                    QuotaReserve(random.Random()),
+                ),
             ),
             profile,
             log_answers=settings.log_answers,
@@ -160,6 +178,7 @@
             lambda: self._executor.load,
             hello,
             self._key_records,
+            self._quotas,
         )
         self._announcement_server = self._interfaces.announcement_server(
             self._target
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -78,6 +78,8 @@
     hedge_after_s : float
         Time in seconds without an answer after which an idempotent request
         also runs at another target; 0 for the service's value.
+    team : str
+        Team of the caller's key; empty if the request has none.
     started : bool
         Whether the request may have been sent to a target. It is set just
         before the request is sent.
@@ -100,6 +102,7 @@
     max_attempts: int = 0
     objective_at: float = 0
     hedge_after_s: float = 0
+    team: str = ''
     started: bool = False
 
 
--- a/lycheespar/commands/operator_commands.py
+++ b/lycheespar/commands/operator_commands.py
@@ -40,6 +40,7 @@
 
 
 def show_entries(arguments: dict[str, Any], table: str, name: str = '') -> None:
+    """Print the names in a table of the configuration, or one entry."""
     _implementation().show_configuration(_build_options(arguments), table, name)
 
 
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -187,6 +187,19 @@
     status = 401
 
 
+class OverQuotaError(RefusedError):
+    """The team has used up the calls that its quota allows."""
+
+    code = 'over_quota'
+    status = 429
+
+
+class QuotaUnavailableError(RefusedError):
+    """The node that counts the team's calls gave no answer."""
+
+    code = 'quota_unavailable'
+
+
 class UnknownServiceError(RefusedError):
     """No configured service or route matches the request."""
 
--- a/lycheespar/ingress/answers.py
+++ b/lycheespar/ingress/answers.py
@@ -13,6 +13,7 @@
 from lycheespar.errors import RequestError
 
 PROBLEM_TYPE: Final = 'application/problem+json'
+TOO_MANY_REQUESTS: Final = 429
 CODE_HEADER: Final = 'X-Lycheespar-Code'
 
 _encoder = msgspec.json.Encoder()
@@ -25,7 +26,7 @@
 ) -> web.Response:
     """Build a problem document (RFC 9457) for a request that failed.
 
-    Statuses from 500 also get a ``Retry-After`` header.
+    Statuses from 500 and 429 also get a ``Retry-After`` header.
 
     Parameters
     ----------
@@ -45,7 +46,7 @@
         'retry_after_s': error.retry_after_s,
     }
     headers = {CODE_HEADER: error.code}
-    if error.status >= 500:
+    if error.status >= 500 or error.status == TOO_MANY_REQUESTS:
         retry_s = error.retry_after_s
         headers[hdrs.RETRY_AFTER] = (
             str(math.ceil(retry_s)) if integer_retry_after else f'{retry_s:.3f}'
--- a/lycheespar/ingress/call_builder.py
+++ b/lycheespar/ingress/call_builder.py
@@ -225,6 +225,7 @@
             max_attempts=route.max_attempts,
             objective_at=deadline - _objective_margin_s(route),
             hedge_after_s=route.objective_ms * HEDGE_DELAY_SHARE / MS_PER_S,
+            team='' if team is None else team.name,
         )
 
     async def _call_by_service(
--- a/lycheespar/platform/settings.py
+++ b/lycheespar/platform/settings.py
@@ -47,6 +47,8 @@
 # those of the smallest deployment that the platform describes.
 DEFAULT_RETRY_SHARE: Final = 0.2
 DEFAULT_EXTRA_RETRIES: Final = 60
+# Requests beyond a quota that are tolerated if the settings file does not say.
+DEFAULT_QUOTA_SLACK: Final = 20
 # Share of the allowed repeated requests that nodes send. The rest allows for
 # calls that targets repeat themselves, which count too.
 NODE_RETRY_SHARE: Final = 0.6
@@ -95,6 +97,8 @@
     exposure_share : float
         Largest share of a service's requests that a bad version may get while
         it is rolled out; 0 if versions are not rolled out.
+    quota_slack : float
+        Requests beyond a quota that are tolerated in each window.
     """
 
     node: str
@@ -112,6 +116,7 @@
     retry_share: float
     extra_retries: float
     exposure_share: float
+    quota_slack: float
 
     def internal_address(self, host: str, offset: int) -> Address:
         """Return an address in the port range for traffic within the system."""
@@ -191,6 +196,7 @@
             # the control hosts; other nodes serve the configuration they have.
             'serve_stale': True,
             'versions_by_order': platform.exposure_share > 0,
+            'quota_slack': max(platform.quota_slack, 1),
             'most_retry_share': min(platform.retry_share * NODE_RETRY_SHARE, 1),
             'saved_retries': max(platform.extra_retries * SAVED_RETRY_SHARE, 1),
             'drain_s': platform.grace_s * DRAIN_SHARE,
@@ -305,6 +311,7 @@
                 DEFAULT_EXTRA_RETRIES,
             ),
             exposure_share=self._read_bound('exposure_share', 0),
+            quota_slack=self._read_bound('quota_slack', DEFAULT_QUOTA_SLACK),
         )
         if self._problems:
             raise SettingsError(tuple(self._problems))
--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -37,9 +37,11 @@
     OutcomeQuery,
     Ping,
     Pong,
+    QuotaReply,
     Refused,
 )
 from lycheespar.protocol.pending import PendingCall, PendingCalls, build_request
+from lycheespar.protocol.quota_requests import QuotaRequests
 from lycheespar.protocol.start_check import CancelElsewhere, StartCheck
 from lycheespar.streams import GuardedStream
 
@@ -62,6 +64,11 @@
         Writing end of the connection.
     peer : Hello
         First message of the other node.
+
+    Attributes
+    ----------
+    quotas : QuotaRequests
+        Requests for calls of quotas that the other node owns.
     """
 
     __slots__ = (
@@ -74,6 +81,7 @@
         '_reader',
         '_reader_task',
         '_retired',
+        'quotas',
     )
 
     def __init__(
@@ -88,6 +96,7 @@
         self._peer_hello = peer
         self._retired = False
         self._load_queries = LoadQueries(connection)
+        self.quotas = QuotaRequests(connection)
         self._pending = PendingCalls(peer.clock_ms, self._retire)
         self._body_tasks: dict[bytes, asyncio.Task[None]] = {}
         self._heartbeat = Heartbeat(
@@ -313,6 +322,8 @@
                 self._pending.resolve_cancel(call_id, started=started)
             case LoadReply(serial, load):
                 self._load_queries.resolve(serial, load)
+            case QuotaReply(serial, wait_s):
+                self.quotas.resolve(serial, wait_s)
             case Ping(serial):
                 self._connection.send(Pong(serial))
             case Pong(_, clock_ms):
@@ -360,4 +371,5 @@
         """Fail all pending calls, load queries and streamed bodies."""
         self._pending.fail_all(error)
         self._load_queries.cancel()
+        self.quotas.fail_all()
         self._connection.fail_bodies(TruncatedAnswerError('channel lost'))
--- a/lycheespar/protocol/incoming_channel.py
+++ b/lycheespar/protocol/incoming_channel.py
@@ -32,6 +32,10 @@
     Refused,
     Request,
 )
+from lycheespar.protocol.quota_grants import (
+    QuotaGrants,
+    handle_quota_message,
+)
 
 # Age in milliseconds past which a request no longer starts a call, as it may be
 # a late copy. Senders resend calls for `RESEND_PERIOD_S`; the sum of both times
@@ -53,6 +57,8 @@
         Returns the load of the local target.
     records : KeyRecords
         Outcomes of idempotency keys.
+    quotas : QuotaGrants
+        Quotas that this node owns.
 
     Attributes
     ----------
@@ -66,6 +72,7 @@
         '_executions',
         '_load',
         '_loop',
+        '_quotas',
         '_records',
         'last_message_at',
     )
@@ -76,8 +83,10 @@
         executions: CallTable,
         load: Callable[[], Load],
         records: KeyRecords,
+        quotas: QuotaGrants,
     ) -> None:
         """Wrap an open connection; `run` serves it."""
+        self._quotas = quotas
         self._connection = FrameConnection(writer)
         self._executions = executions
         self._load = load
@@ -168,7 +177,7 @@
             case LoadRequest(serial):
                 self._connection.send(LoadReply(serial, self._load()))
             case _:
-                return
+                handle_quota_message(message, self._quotas, self._connection)
 
     def _send_key_outcome(self, query: OutcomeQuery) -> None:
         """Send the recorded outcome of an idempotency key."""
--- a/lycheespar/protocol/messages.py
+++ b/lycheespar/protocol/messages.py
@@ -237,6 +237,33 @@
     load: Load
 
 
+class QuotaRequest(_Message, frozen=True, tag=16):
+    """Asks the owner of a team's quota for one call."""
+
+    serial: int
+    team: str
+
+
+class QuotaReply(_Message, frozen=True, tag=17):
+    """Answers a `QuotaRequest`.
+
+    Attributes
+    ----------
+    wait_s : float
+        0 if the call is granted; else the time in seconds until a call may be
+        granted, negative if the receiver does not own the quota.
+    """
+
+    serial: int
+    wait_s: float
+
+
+class QuotaReturn(_Message, frozen=True, tag=18):
+    """Returns a call that was granted, but did not run."""
+
+    team: str
+
+
 Message = (
     OutcomeQuery
     | LoadRequest
@@ -253,4 +280,7 @@
     | CancelResult
     | Ping
     | Pong
+    | QuotaRequest
+    | QuotaReply
+    | QuotaReturn
 )
--- a/lycheespar/protocol/remote_node.py
+++ b/lycheespar/protocol/remote_node.py
@@ -134,6 +134,28 @@
             self._opening.add_done_callback(_retrieve_error)
         return None
 
+    async def take_quota(self, team: str) -> float:
+        """Take a call from a quota that the node owns.
+
+        Returns
+        -------
+        float
+            0 if the call is granted; else the time in seconds until a call
+            may be granted, negative if the node does not own the quota.
+
+        Raises
+        ------
+        ChannelError
+            The node could not be asked.
+        """
+        channel = await self._get_channel()
+        return await channel.quotas.take(team)
+
+    def put_back_quota(self, team: str) -> None:
+        """Return a call to a quota that the node owns."""
+        if self._channel is not None and self._channel.usable:
+            self._channel.quotas.put_back(team)
+
     async def query_outcome(
         self,
         key: bytes,
--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -14,6 +14,7 @@
 from lycheespar.protocol.messages import (
     Hello,
 )
+from lycheespar.protocol.quota_grants import QuotaGrants
 
 # Time in seconds between two checks for channels that have gone silent.
 SWEEP_INTERVAL_S: Final = 10
@@ -35,6 +36,8 @@
         First message of this node on each channel.
     records : KeyRecords
         Outcomes of idempotency keys.
+    quotas : QuotaGrants
+        Quotas that this node owns.
     """
 
     __slots__ = (
@@ -42,6 +45,7 @@
         '_executions',
         '_hello',
         '_load',
+        '_quotas',
         '_records',
         '_server',
         '_sweep_task',
@@ -53,8 +57,10 @@
         load: Callable[[], Load],
         hello: Hello,
         records: KeyRecords,
+        quotas: QuotaGrants,
     ) -> None:
         """Create a stopped server; `start` opens the port."""
+        self._quotas = quotas
         self._records = records
         self._executions = executions
         self._load = load
@@ -109,6 +115,7 @@
             self._executions,
             self._load,
             self._records,
+            self._quotas,
         )
         self._channels.add(channel)
         try:
--- /dev/null
+++ b/lycheespar/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of teams, which all nodes keep together."""
--- /dev/null
+++ b/lycheespar/quotas/owner.py
@@ -0,0 +1,121 @@
+"""Grants calls of the teams whose quota this node owns.
+
+The load that this answers: a team that sends many times its limit through all
+nodes at once, and small teams whose few calls come in bunches. One owner counts
+a team's calls exactly, whatever node they come in at.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from lycheespar.configuration.stamp import boot_time_s
+from lycheespar.configuration.view import ConfigurationView
+from lycheespar.quotas.bucket import TokenBucket
+from lycheespar.quotas.ring import QuotaRing
+from lycheespar.teams.profile import TeamProfile
+
+# Part of the tolerated extra calls that is added to each burst, so that a few
+# calls of a small team that come at once are within its limit.
+BURST_SLACK_PART: Final = 0.3
+# Part of the tolerated extra calls with which a new owner begins. The former
+# owner may have spent the whole burst just before.
+FIRST_SLACK_PART: Final = 0.15
+# Time in seconds without a change of the nodes after which no other node can
+# have owned a quota shortly before, so that the whole burst is there.
+STABLE_S: Final = 5.0
+# Time in seconds after which a refused team asks again at the latest.
+MAX_WAIT_S: Final = 1.0
+# Wait that tells the asking node that this node does not own the quota.
+NOT_OWNER: Final = -1.0
+
+
+class QuotaOwner:
+    """Token buckets of the teams that this node owns.
+
+    Parameters
+    ----------
+    node : str
+        Identity of this node.
+    ring : QuotaRing
+        Selects the owners.
+    configuration : ConfigurationView
+        Provides the limits.
+    slack : float
+        Calls beyond a limit that are tolerated in any window.
+    clock : Callable[[], float]
+        Monotonic clock in seconds.
+    """
+
+    __slots__ = (
+        '_buckets',
+        '_clock',
+        '_configuration',
+        '_node',
+        '_ring',
+        '_slack',
+    )
+
+    def __init__(
+        self,
+        node: str,
+        ring: QuotaRing,
+        configuration: ConfigurationView,
+        slack: float,
+        clock: Callable[[], float] = boot_time_s,
+    ) -> None:
+        """Create an owner without buckets."""
+        self._node = node
+        self._ring = ring
+        self._configuration = configuration
+        self._slack = slack
+        self._clock = clock
+        self._buckets: dict[str, tuple[TeamProfile, TokenBucket]] = {}
+
+    def owns(self, team: str) -> bool:
+        """Whether this node owns the quota of a team.
+
+        A quota that another node owns is forgotten: that node begins anew, and
+        so does this one if it owns the quota again.
+        """
+        owner = self._ring.owner(team)
+        if owner is not None and owner.node == self._node:
+            return True
+        self._buckets.pop(team, None)
+        return False
+
+    def take(self, name: str) -> float:
+        """Take a call from a team's quota.
+
+        Returns
+        -------
+        float
+            0 if the call is granted; else the time in seconds until a call
+            may be granted, or `NOT_OWNER`.
+        """
+        if not self.owns(name):
+            return NOT_OWNER
+        team = self._configuration.current.plan.teams.get(name)
+        if team is None or not team.calls_per_s:
+            return 0
+        now = self._clock()
+        return min(self._bucket(team, now).try_take(now), MAX_WAIT_S)
+
+    def put_back(self, name: str) -> None:
+        """Return a call that was granted, but did not run."""
+        known = self._buckets.get(name)
+        if known is not None:
+            known[1].put_back()
+
+    def _bucket(self, team: TeamProfile, now: float) -> TokenBucket:
+        known_team, bucket = self._buckets.get(team.name, (None, None))
+        capacity = team.burst + BURST_SLACK_PART * self._slack
+        if bucket is None:
+            is_stable = self._ring.unchanged_s >= STABLE_S
+            first = capacity if is_stable else FIRST_SLACK_PART * self._slack
+            bucket = TokenBucket(now, team.calls_per_s, capacity, first)
+        elif known_team is not team:
+            bucket.configure(now, team.calls_per_s, capacity)
+        self._buckets[team.name] = (team, bucket)
+        return bucket
--- a/lycheespar/rollouts/evidence.py
+++ b/lycheespar/rollouts/evidence.py
@@ -210,6 +210,10 @@
 class CountedClient:
     """Client of the local target that counts its calls as evidence.
 
+    Times are divided by the pace that the target reports: callers choose among
+    the targets of the old version by their pace, but know little of the few
+    calls of the new one.
+
     Parameters
     ----------
     client : Client
@@ -236,9 +240,11 @@
             self._counter.record_failure(route)
             raise
         except (DeadlineExceededError, asyncio.CancelledError):
-            self._counter.record_abandoned(route, loop.time() - sent_at)
+            waited_s = (loop.time() - sent_at) / max(load.pace, 1)
+            self._counter.record_abandoned(route, waited_s)
             raise
-        self._counter.record_answer(route, answer.status, loop.time() - sent_at)
+        latency_s = (loop.time() - sent_at) / max(load.pace, 1)
+        self._counter.record_answer(route, answer.status, latency_s)
         return answer
 
     async def close_when_idle(self) -> None:
--- a/lycheespar/rollouts/verdict.py
+++ b/lycheespar/rollouts/verdict.py
@@ -26,16 +26,16 @@
 
 # Sum at which a version is bad. It is the logarithm of the odds against one
 # route of a good version reaching it at a given answer.
-BAD_SUM: Final = 9.0
+BAD_SUM: Final = 12.0
 # Largest change of a sum by one call. One call must not decide, and a rare
 # event at the old version has no exact share.
 MAX_STEP: Final = 2.0
 # Additional shares of failures and of slow answers that make a version bad.
 BAD_FAILURES: Final = 0.15
-BAD_SLOWNESS: Final = 0.25
+BAD_SLOWNESS: Final = 0.35
 # Least shares that the old version is assumed to have, as its counts are small.
 MIN_FAILURES: Final = 0.02
-MIN_SLOWNESS: Final = 0.05
+MIN_SLOWNESS: Final = 0.1
 # Answers above this multiple of the old version's median on the route are slow.
 SLOW_RATIO: Final = 3.0
 # Share of a new version's answers that may be slow without any doubt: above it
--- a/lycheespar/routing/pool.py
+++ b/lycheespar/routing/pool.py
@@ -37,6 +37,14 @@
         """Query the load of a node's target; None if no channel is open."""
         return self.remote_node(record).query_load()
 
+    async def take_quota(self, record: MemberRecord, team: str) -> float:
+        """Take a call from a quota at its owner, as `RemoteNode` says."""
+        return await self.remote_node(record).take_quota(team)
+
+    def put_back_quota(self, record: MemberRecord, team: str) -> None:
+        """Return a call to a quota at its owner."""
+        self.remote_node(record).put_back_quota(team)
+
     def remote_node(self, record: MemberRecord) -> RemoteNode:
         """Return the shared client of a node.
 
--- a/lycheespar/settings/definitions.py
+++ b/lycheespar/settings/definitions.py
@@ -73,6 +73,11 @@
         'Whether targets of a new version get requests only by a roll-out.',
         default=False,
     )
+    quota_slack = Number(
+        "Calls beyond a team's quota that are tolerated in a few seconds.",
+        20,
+        low=1,
+    )
     data_folder: Option[Any] = Text(
         'Folder in which the last configuration is saved; without it none is.',
         None,
--- /dev/null
+++ b/lycheespar/telemetry/quota_events.py
@@ -0,0 +1,48 @@
+"""Structured events about quotas."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from lycheespar.telemetry.events import Event, RequestEvent
+
+
+class QuotaExceeded(RequestEvent, frozen=True, tag='over_quota'):
+    """A request was refused, as its team has used up its quota.
+
+    Attributes
+    ----------
+    team : str
+        Name of the team.
+    owner : str
+        Node that counts the team's calls.
+    retry_after_s : float
+        Time in seconds after which a call may be granted.
+    """
+
+    part: ClassVar[str] = 'quotas'
+
+    team: str
+    owner: str
+    retry_after_s: float
+
+
+class OwnerUnreachable(Event, frozen=True, tag='quota_owner_silent'):
+    """The owner of a team's quota gave no answer; the reserve is used.
+
+    Attributes
+    ----------
+    team : str
+        Name of the team.
+    owner : str
+        Node that owns the quota.
+    error : str
+        What happened to the question.
+    """
+
+    part: ClassVar[str] = 'quotas'
+    rate_limited: ClassVar[bool] = True
+
+    team: str
+    owner: str
+    error: str
--- a/lycheespar/tests/protocol/remote_node_tests.py
+++ b/lycheespar/tests/protocol/remote_node_tests.py
@@ -9,6 +9,7 @@
 from lycheespar.call import Answer, Call, Load
 from lycheespar.errors import (
     CancelledRequestError,
+    ChannelClosedError,
     ChannelConnectError,
     DeadlineExceededError,
     DeadlineUnreachableError,
@@ -270,3 +271,24 @@
         await node.remote.close()
         with pytest.raises(ChannelConnectError):
             await task
+
+
+async def test_quotas_are_taken_and_returned_over_the_channel():
+    async with running_node() as node:
+        node.quotas.wait_s = 0.25
+        assert await node.remote.take_quota('hule') == 0.25
+        node.remote.put_back_quota('hule')
+        while not node.quotas.returned:
+            await asyncio.sleep(0.01)
+        assert node.quotas.returned == ['hule']
+
+
+async def test_a_lost_channel_fails_the_requests_for_quotas():
+    async with running_node() as node:
+        await node.remote.take_quota('hule')
+        node.link.discard_open_traffic()
+        request = asyncio.create_task(node.remote.take_quota('hule'))
+        await asyncio.sleep(0)
+        node.remote._channel._abort_silent()
+        with pytest.raises(ChannelClosedError):
+            await request
--- /dev/null
+++ b/lycheespar/tests/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quotas of teams."""
--- /dev/null
+++ b/lycheespar/tests/quotas/quotas_tests.py
@@ -0,0 +1,194 @@
+"""Quotas that all nodes keep together, in calm and in failure."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec.structs import replace
+
+from lycheespar.quotas.bucket import TokenBucket
+from lycheespar.quotas.ring import SETTLE_S
+from lycheespar.teams.profile import TeamProfile
+from lycheespar.tests.quotas.fleet import Fleet, allowed
+
+NODES = 78
+TEAMS = 85
+SKEW = 1.2
+CALLS_PER_S = 350
+# Limits as a multiple of what teams usually send.
+QUOTA_RATIO = 1.6
+# Part of the calls below the limits that may be refused.
+MAX_REFUSED_PART = 1 / 200
+BIG = TeamProfile('big', ('k',), calls_per_s=116, burst=116)
+SMALL = TeamProfile('small', ('s',), calls_per_s=0.5, burst=0.5)
+
+
+def _skewed_teams() -> tuple[list[TeamProfile], dict[str, float]]:
+    weights = [1 / rank**SKEW for rank in range(1, TEAMS + 1)]
+    rates = {
+        f'team-{index}': CALLS_PER_S * weight / sum(weights)
+        for index, weight in enumerate(weights)
+    }
+    teams = [
+        TeamProfile(
+            name,
+            (name,),
+            calls_per_s=rate * QUOTA_RATIO,
+            burst=rate * QUOTA_RATIO,
+        )
+        for name, rate in rates.items()
+    ]
+    return teams, rates
+
+
+def _check_limits(fleet: Fleet, *teams: TeamProfile) -> None:
+    for team in teams:
+        assert fleet.most_in_window(team.name) <= allowed(team), team.name
+
+
+async def test_teams_below_their_limits_are_hardly_refused():
+    teams, rates = _skewed_teams()
+    fleet = Fleet(NODES, teams)
+    for name, rate in rates.items():
+        fleet.set_rate(name, rate)
+    await fleet.run(10)
+    refused = sum(fleet.refused.values())
+    assert refused <= MAX_REFUSED_PART * sum(fleet.asked.values())
+
+
+async def test_a_hot_team_is_held_at_its_limit_and_gets_all_of_it():
+    fleet = Fleet(NODES, [BIG, SMALL])
+    fleet.set_rate('big', 7 * BIG.calls_per_s)
+    fleet.set_rate('small', SMALL.calls_per_s * 0.6)
+    await fleet.run(12)
+    _check_limits(fleet, BIG, SMALL)
+    assert len(fleet.ran['big']) >= 12 * BIG.calls_per_s * 0.98
+    assert not fleet.refused['small']
+
+
+async def test_a_limit_that_is_cut_holds_one_window_later():
+    fleet = Fleet(NODES, [BIG])
+    fleet.set_rate('big', BIG.calls_per_s)
+    await fleet.run(6)
+    cut = replace(BIG, calls_per_s=10, burst=10)
+    fleet.set_teams([cut])
+    fleet.ran.clear()
+    await fleet.run(12)
+    _check_limits(fleet, cut)
+
+
+async def test_a_limit_that_is_raised_holds_at_once():
+    fleet = Fleet(NODES, [replace(BIG, calls_per_s=10, burst=10)])
+    fleet.set_rate('big', 100)
+    await fleet.run(6)
+    fleet.set_teams([BIG])
+    fleet.asked.clear()
+    fleet.refused.clear()
+    await fleet.run(6)
+    assert fleet.refused['big'] <= 0.02 * fleet.asked['big']
+
+
+async def test_an_owner_that_ends_is_replaced_and_the_limit_holds():
+    fleet = Fleet(NODES, [BIG])
+    fleet.set_rate('big', 7 * BIG.calls_per_s)
+    for _ in range(3):
+        await fleet.run(5)
+        fleet.kill(fleet.owner('big'))
+    await fleet.run(5)
+    _check_limits(fleet, BIG)
+    assert len(fleet.ran['big']) >= 20 * BIG.calls_per_s * 0.9
+
+
+async def test_an_owner_that_restarts_grants_no_second_burst():
+    fleet = Fleet(NODES, [BIG])
+    fleet.set_rate('big', 7 * BIG.calls_per_s)
+    for _ in range(4):
+        await fleet.run(2.5)
+        fleet.restart(fleet.owner('big'))
+    await fleet.run(5)
+    _check_limits(fleet, BIG)
+
+
+async def test_a_silent_owner_leaves_the_reserves_of_the_nodes():
+    """It is not known as dead yet, so that no other node owns the quota."""
+    fleet = Fleet(NODES, [BIG])
+    fleet.set_rate('big', 7 * BIG.calls_per_s)
+    await fleet.run(5)
+    fleet.nodes[fleet.owner('big')].silent = True
+    await fleet.run(6)
+    fleet.nodes[fleet.owner('big')].silent = False
+    await fleet.run(6)
+    _check_limits(fleet, BIG)
+
+
+async def test_two_zones_that_lose_each_other_keep_the_limit_together():
+    fleet = Fleet(NODES, [BIG])
+    fleet.set_rate('big', 7 * BIG.calls_per_s)
+    await fleet.run(5)
+    owner_zone = fleet.nodes[fleet.owner('big')].zone
+    fleet.cut_zones = {frozenset((owner_zone, (owner_zone + 1) % 4))}
+    await fleet.run(8)
+    fleet.cut_zones = set()
+    await fleet.run(5)
+    _check_limits(fleet, BIG)
+
+
+async def test_a_zone_that_is_cut_off_owns_no_quota():
+    fleet = Fleet(NODES, [BIG])
+    fleet.set_rate('big', 7 * BIG.calls_per_s)
+    await fleet.run(5)
+    zone = 1
+    inside = [node for node in fleet.nodes.values() if node.zone == zone]
+    outside = [node for node in fleet.nodes.values() if node.zone != zone]
+    fleet.cut_zones = {frozenset((zone, other)) for other in range(4)}
+    fleet.declare_dead(*outside, by=inside)
+    fleet.declare_dead(*inside, by=outside)
+    assert all(node.ring.owner('big') is None for node in inside)
+    await fleet.run(8)
+    _check_limits(fleet, BIG)
+
+
+async def test_halves_that_lose_each_other_own_no_quota():
+    fleet = Fleet(NODES, [BIG])
+    nodes = list(fleet.nodes.values())
+    halves = (nodes[: NODES // 2], nodes[NODES // 2 :])
+    fleet.declare_dead(*halves[1], by=halves[0])
+    fleet.declare_dead(*halves[0], by=halves[1])
+    assert {node.ring.owner('big') for node in nodes} == {None}
+
+
+async def test_a_node_that_joins_owns_nothing_before_it_is_known():
+    fleet = Fleet(NODES, [BIG])
+    owner = fleet.owner('big')
+    fleet.kill(owner)
+    replacement = fleet.owner('big')
+    fleet.restart(owner)
+    assert fleet.owner('big') == replacement
+    fleet.wait(SETTLE_S)
+    assert fleet.owner('big') == owner
+
+
+async def test_a_call_that_did_not_run_is_given_back():
+    fleet = Fleet(4, [replace(BIG, calls_per_s=1, burst=4)])
+    for node in fleet.nodes.values():
+        node.full = True
+    for _ in range(200):
+        await fleet.send('big')
+    for node in fleet.nodes.values():
+        node.full = False
+    for _ in range(3):
+        await fleet.send('big')
+    assert len(fleet.ran['big']) == 3
+
+
+async def test_teams_without_a_limit_are_not_counted():
+    fleet = Fleet(4, [replace(BIG, calls_per_s=0, burst=0)])
+    for _ in range(300):
+        await fleet.send('big')
+    assert len(fleet.ran['big']) == 300
+
+
+@pytest.mark.parametrize(('per_s', 'expected_s'), [(2, 0.5), (0, float('inf'))])
+def test_a_bucket_names_the_time_until_the_next_token(per_s, expected_s):
+    bucket = TokenBucket(0, per_s, 1, 1)
+    assert bucket.try_take(0) == 0
+    assert bucket.try_take(0) == expected_s
--- a/lycheespar/tests/rollouts/play_tests.py
+++ b/lycheespar/tests/rollouts/play_tests.py
@@ -27,6 +27,11 @@
 GOOD_VERSIONS = {
     'equal': (Version(), Version()),
     'on slower hosts': (Version(pace=1.5), Version()),
+    # Callers avoid slow hosts of the old version, whose pace they know.
+    'on hosts of unknown pace': (
+        Version(noise_part=0.15),
+        Version(noise_part=0.03),
+    ),
     'while the old one fails': (
         Version(usual_failures=0.01),
         Version(bad_part=0.4, bad_from_s=3),
--- a/lycheespar/tests/routing/site.py
+++ b/lycheespar/tests/routing/site.py
@@ -34,6 +34,7 @@
 from lycheespar.routing.pool import ChannelPool
 from lycheespar.routing.recall import OutcomeLookup
 from lycheespar.routing.router import Router
+from lycheespar.tests.protocol.nodes import FakeQuotas
 from standins.link import Link
 
 SERVICE = 'vlotwacht/station-records'
@@ -134,6 +135,7 @@
             Load,
             hello,
             self.records,
+            FakeQuotas(),
         )
         await self._server.start(HOST, 0)
         self.link = Link(*self._server.address)
