Admission by cost: what waits and what is refused when there is too little room

Asked for by the operators. Of one priority, calls that can still meet their objective go before those that can't, by their latest start; a full queue refuses what can't be in time, then the longest work. In force for templates that ask for it and for plans with teams or uploads; others are served as before.

--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -357,7 +357,10 @@
             Parameters() if service is None else service.parameters
         )
         self._load_path = '' if service is None else service.load_path
-        self._gate.configure(gate_limits(announced.slots, self._parameters))
+        by_cost = service is not None and service.refuses_by_cost
+        self._gate.configure(
+            gate_limits(announced.slots, self._parameters, by_cost=by_cost)
+        )
         out = self._configuration.is_taken_out(
             self._data_centre, announced.target
         )
--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -102,6 +102,7 @@
         """Change the limits; running and queued calls are not affected."""
         self._limits = limits
         self._limiter.configure(limits)
+        self._queue.by_cost = limits.by_cost
         self.rates.cold.configure(limits.cold_per_s)
         if self._queue:
             self.admit_queued()
@@ -130,16 +131,16 @@
             self._running += 1
             self.rates.record(now)
             return
-        position = self._queue.count_ahead_of(call) + 1
+        recent_latency_s = self._limiter.recent_latency_s(
+            call.request_class, now
+        )
+        position = self._queue.count_ahead_of(call, recent_latency_s) + 1
         wait_s = max(
             self._expected_wait_s(position, now),
             self.rates.wait_s(now, position),
         )
         wait_s *= self._admitted_weights.wait_factor(call.weight)
         self._check_deadline(call, now, wait_s)
-        recent_latency_s = self._limiter.recent_latency_s(
-            call.request_class, now
-        )
         # A call that is admitted before lighter ones may wait for most of its
         # remaining time; any other call waits for at most `queue_s`.
         max_wait_s = (
@@ -152,8 +153,8 @@
         )
         if wait_s > max_wait_s:
             raise self._overload_error()
-        self._make_room(call)
-        queued = self._queue.push(call)
+        self._make_room(call, recent_latency_s, now)
+        queued = self._queue.push(call, recent_latency_s)
         self.rates.notify_after(rate_wait_s)
         await self._wait_for_admission(queued, now + max_wait_s)
 
@@ -172,7 +173,7 @@
             if rate_wait_s:
                 self.rates.notify_after(rate_wait_s)
                 return
-            queued = self._queue.pop()
+            queued = self._queue.pop(now)
             if not queued.admission.done():
                 self._admit(queued, now)
 
@@ -182,19 +183,19 @@
         if now + wait_s + min_latency_s > call.deadline:
             raise DeadlineUnreachableError(retry_after_s=self._retry_after_s())
 
-    def _make_room(self, call: Call) -> None:
+    def _make_room(self, call: Call, work_s: float, now: float) -> None:
         """Make sure that the queue has room for a call.
 
-        If the queue is full, its call of least weight is evicted; if none
-        weighs less than the new call, the new call is refused.
+        If the queue is full, the call whose refusal costs least is refused,
+        which may be the new one.
         """
         if len(self._queue) < self._limits.queue_limit:
             return
-        if not self._queue or self._queue.lightest.call.weight >= call.weight:
+        victim = self._queue.find_victim(call, work_s, now)
+        if victim is None:
             raise self._overload_error()
-        lightest = self._queue.lightest
-        self._queue.remove(lightest)
-        lightest.refuse(self._overload_error())
+        self._queue.remove(victim)
+        victim.refuse(self._overload_error())
 
     async def _wait_for_admission(
         self, queued: QueuedCall, ends_at: float
--- a/lycheespar/admission/limiter.py
+++ b/lycheespar/admission/limiter.py
@@ -32,6 +32,8 @@
         Share of the slots available at a start, 0 to 1.
     cold_per_s : float
         Calls per second that a cold target accepts; 0 for no limit.
+    by_cost : bool
+        Whether calls wait and are refused by what that costs their callers.
     """
 
     slots: int = 1
@@ -40,9 +42,12 @@
     cold_start_s: float = 0
     cold_share: float = 1
     cold_per_s: float = 0
+    by_cost: bool = False
 
 
-def gate_limits(slots: int, parameters: Parameters) -> GateLimits:
+def gate_limits(
+    slots: int, parameters: Parameters, *, by_cost: bool = False
+) -> GateLimits:
     """Return the limits that follow from a service's parameters."""
     return GateLimits(
         slots=slots,
@@ -51,6 +56,7 @@
         cold_start_s=parameters.cold_start_s,
         cold_share=parameters.cold_share,
         cold_per_s=parameters.cold_per_s,
+        by_cost=by_cost,
     )
 
 
--- a/lycheespar/configuration/model.py
+++ b/lycheespar/configuration/model.py
@@ -119,12 +119,16 @@
         Routes in order; the first match applies.
     parameters : Parameters
         Defaults for all teams.
+    refuse_by_cost : bool
+        Whether requests wait and are refused by what that costs callers, and
+        not by their deadlines alone.
     """
 
     name: str
     classes: dict[str, RequestClass] = {}
     routes: tuple[Route, ...] = ()
     parameters: Parameters = Parameters()
+    refuse_by_cost: bool = False
 
 
 class TeamService(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -202,6 +206,8 @@
         Path at which a target reports its load; empty if it announces it.
     connections : int
         Connections that one target accepts; 0 if it announces the number.
+    refuses_by_cost : bool
+        Whether requests wait and are refused by what that costs callers.
     """
 
     name: str
@@ -210,6 +216,7 @@
     parameters: Parameters
     load_path: str = ''
     connections: int = 0
+    refuses_by_cost: bool = False
 
     def weight(self, request_class: str) -> float:
         """Return the weight of a class, or 1 if the class is unknown."""
@@ -231,7 +238,9 @@
         for name, team_service in team.services.items()
     )
     plan_services = {
-        name: _plan_service(profile)
+        name: _plan_service(
+            profile, refuses_by_cost=configuration.plan.is_contended
+        )
         for name, profile in configuration.plan.services.items()
     }
     return plan_services | {
@@ -242,7 +251,7 @@
     }
 
 
-def _plan_service(profile: ServiceProfile) -> Service:
+def _plan_service(profile: ServiceProfile, *, refuses_by_cost: bool) -> Service:
     """Build a service of the plan; its routes are part of the plan."""
     return Service(
         name=profile.name,
@@ -260,6 +269,7 @@
         ),
         load_path=profile.load_path,
         connections=profile.connections,
+        refuses_by_cost=refuses_by_cost,
     )
 
 
@@ -276,4 +286,5 @@
         classes=template.classes,
         routes=template.routes,
         parameters=msgspec.convert(merged, Parameters, strict=False),
+        refuses_by_cost=template.refuse_by_cost,
     )
--- a/lycheespar/configuration/routes.py
+++ b/lycheespar/configuration/routes.py
@@ -63,6 +63,8 @@
         The route as the operator sent it; returned when it is read.
     public : bool
         Whether requests need no key, even if the plan has teams.
+    upload : bool
+        Whether requests have large bodies.
     """
 
     name: str
@@ -76,6 +78,7 @@
     max_attempts: int = 1
     source: str = ''
     public: bool = False
+    upload: bool = False
 
 
 class ServiceProfile(msgspec.Struct, frozen=True):
@@ -151,6 +154,17 @@
     limits: CallerLimits = CallerLimits()
     teams: dict[str, TeamProfile] = {}
 
+    @property
+    def is_contended(self) -> bool:
+        """Whether callers compete by more than their deadlines.
+
+        They do if they belong to teams, or if some requests are uploads,
+        which take far more of a target's time and link than others.
+        """
+        return bool(self.teams) or any(
+            route.upload for route in self.routes.values()
+        )
+
 
 class PutRoutePlan(msgspec.Struct, frozen=True, tag='put_route_plan'):
     """Replaces the whole plan.
--- a/lycheespar/platform/documents.py
+++ b/lycheespar/platform/documents.py
@@ -184,6 +184,7 @@
         max_attempts=max(_require_integer(spec['max_attempts']), 1),
         source=source,
         public=spec.get('public', False) is True,
+        upload=spec['route_type'] == 'upload',
     )
 
 
