Plan check: errors, entries that never match, contradictions, differences

The small tool that the operators asked for. 'history' failed on changes without a name of their own (plans, roll-outs); found by the test of the commands.

--- a/lycheespar/commands/operator_actions.py
+++ b/lycheespar/commands/operator_actions.py
@@ -205,13 +205,23 @@
     command = accepted.command
     change = convert_for_json(command.change)
     kind = change.pop('type')
-    entry_name = change.get('name') or next(iter(change.values()))['name']
+    entry_name = _entry_name(change)
     return (
         f'{accepted.revision} {command.operator} {kind} {entry_name} '
         + f'({command.change_id})'
     )
 
 
+def _entry_name(change: dict[str, Any]) -> str:
+    """Return the name of what a change concerns, for the history."""
+    if 'name' in change or 'service' in change:
+        return str(change.get('name') or change['service'])
+    entry = next(iter(change.values()))
+    if isinstance(entry, dict):
+        return str(entry.get('name') or entry.get('label', ''))
+    return str(entry)
+
+
 def _print_change(
     options: Options,
     command: Command,
--- a/lycheespar/commands/operator_commands.py
+++ b/lycheespar/commands/operator_commands.py
@@ -175,6 +175,7 @@
 
 def add_operator_commands(cli: click.Group) -> None:
     """Add the operators' commands to the command line."""
+    from lycheespar.commands.plan_commands import plan  # noqa: PLC0415
     from lycheespar.commands.rollout_commands import (  # noqa: PLC0415
         rollout,
     )
@@ -184,6 +185,7 @@
         team,
         take_out,
         return_,
+        plan,
         rollout,
         status,
         history,
--- a/lycheespar/tests/commands/operator_actions_tests.py
+++ b/lycheespar/tests/commands/operator_actions_tests.py
@@ -162,6 +162,8 @@
     assert (shown['version'], shown['state']) == ('v2', 'running')
     again = await api.run(*order, '--duration', '60')
     assert again.exit_code == 0
+    history = (await api.run('history')).output
+    assert 'start_rollout vlotwacht/certificates' in history
     other = await api.run(*order[:-1], 'v3', '--duration', '60')
     assert other.exit_code == 3
     assert "the roll-out of 'v2' is still running" in other.stderr
@@ -171,6 +173,24 @@
     assert "there is no service 'none/none'" in unknown.stderr
 
 
+async def test_a_plan_is_checked_against_the_one_in_force(api, tmp_path):
+    path = tmp_path / 'plan.json'
+    path.write_text(
+        """{label: 1, services: {records: {name: 'records'}}, routes: {r: {
+        name: 'r', host: 'a.example', path_prefix: '/a/',
+        destinations: [{service: 'records'}]}}}"""
+    )
+    checked = await api.run('plan', 'check', str(path))
+    assert checked.exit_code == 0, checked.output
+    assert 'differs: routes.r: added' in checked.output
+    path.write_text("{label: 1, services: {records: {name: 'records'}}}")
+    report = await api.run('plan', 'check', str(path), '--json')
+    assert report.exit_code == 3
+    assert json.loads(report.output)['unreachable']
+    path.write_text('{label: ')
+    assert (await api.run('plan', 'check', str(path))).exit_code == 3
+
+
 async def test_a_change_id_takes_effect_once(api):
     first = await api.json('take-out', 'target', 'one', '--change-id', 'x')
     await api.json('take-out', 'target', 'two')
