--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,6 +19,7 @@
 from bench.process_slopes import measure_processes
 from bench.pull_slopes import measure_pulls
 from bench.state_slopes import measure_state
+from bench.team_slopes import measure_teams
 
 
 @click.group()
@@ -69,6 +70,13 @@
         click.echo(line)
 
 
+@cli.command()
+def teams() -> None:
+    """Measure the cost of keys and quotas of teams."""
+    for line in measure_teams():
+        click.echo(line)
+
+
 @cli.command()
 def channels() -> None:
     """Measure the memory of channels and their cost while idle."""
--- a/lycheespar/configuration/plan_check.py
+++ b/lycheespar/configuration/plan_check.py
@@ -118,7 +118,7 @@
     for team in plan.teams.values():
         yield from _team_contradictions(team)
     yield from (
-        f'services.{profile.name}: cold_start_s has no effect without cold_per_s'
+        f'services.{profile.name}: cold_start_s needs cold_per_s'
         for profile in plan.services.values()
         if profile.cold_start_s and not profile.cold_per_s
     )
--- a/lycheespar/tests/configuration/plan_check_tests.py
+++ b/lycheespar/tests/configuration/plan_check_tests.py
@@ -92,7 +92,7 @@
                 PLAN,
                 services={'records': ServiceProfile('records', cold_start_s=3)},
             ),
-            'no effect without cold_per_s',
+            'needs cold_per_s',
         ),
         (
             replace(
