--- a/bench/team_slopes.py
+++ b/bench/team_slopes.py
@@ -61,7 +61,8 @@
     chosen = ring.owner(own)
     assert chosen is not None
     owner = QuotaOwner(chosen.node, ring, view, SLACK)
-    yield f'a call of an owned quota: {_time_us(lambda: owner.take(own)):.2f} us'
+    taken_us = _time_us(lambda: owner.take(own))
+    yield f'a call of an owned quota: {taken_us:.2f} us'
     messages = (QuotaRequest(1, 'team-100'), QuotaReply(1, 0.0))
     sizes = [len(msgspec.msgpack.encode(message)) for message in messages]
     yield f'request and reply: {sizes[0]} and {sizes[1]} bytes without framing'
