--- a/lycheespar/ingress/call_builder.py
+++ b/lycheespar/ingress/call_builder.py
@@ -17,7 +17,6 @@
     NoTargetError,
     RequestError,
     StaleConfigurationError,
-    UnknownKeyError,
     UnknownServiceError,
 )
 from lycheespar.ingress.body import read_body
@@ -28,8 +27,8 @@
 )
 from lycheespar.ingress.request import CallerRequest
 from lycheespar.ingress.split import WeightedSplit
+from lycheespar.ingress.team_keys import TeamKeys, priority_of
 from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
-from lycheespar.teams.profile import TeamProfile
 
 IDEMPOTENCY_KEY: Final = 'Idempotency-Key'
 TRACEPARENT: Final = 'traceparent'
@@ -100,6 +99,7 @@
 
     __slots__ = (
         '_configuration',
+        '_keys',
         '_max_body_bytes',
         '_own_service',
         '_profile',
@@ -118,6 +118,7 @@
         self._max_body_bytes = max_body_bytes
         self._profile = profile
         self._own_service = own_service
+        self._keys = TeamKeys(configuration, profile)
         self._split = WeightedSplit()
 
     @property
@@ -203,7 +204,7 @@
             raise NoTargetError(
                 f"all destinations of route '{route.name}' have weight 0",
             )
-        team = self._find_team(request, route)
+        team = self._keys.find_team(request.headers, route)
         deadline = self._deadline(request, route.deadline_ms)
         body = await self._read_body(request)
         depth = call_depth(request.headers)
@@ -212,12 +213,12 @@
             service=service,
             method=request.method,
             path=request.raw_path,
-            headers=self._with_team(
+            headers=self._keys.replace_key(
                 self._target_headers(request, depth, route.name), team
             ),
             body=body,
             request_class=route.name,
-            weight=1 / (1 + _priority(route, team)),
+            weight=1 / (1 + priority_of(route, team)),
             idempotent=route.idempotent,
             deadline=deadline,
             fingerprint=_fingerprint(request, service, body),
@@ -266,41 +267,6 @@
             traceparent=headers.get(TRACEPARENT, ''),
         )
 
-    def _find_team(
-        self, request: CallerRequest, route: HostRoute
-    ) -> TeamProfile | None:
-        """Return the team that holds the request's key.
-
-        Raises
-        ------
-        UnknownKeyError
-            The key is missing or unknown, and the route is not public.
-        StaleConfigurationError
-            As above, but a newer configuration may know the key.
-        """
-        keys = self._configuration.keys
-        if not keys.requires_keys:
-            return None
-        given = request.headers.getall(self._profile.key, ())
-        team = keys.find(given[0]) if len(given) == 1 else None
-        if team is not None or route.public:
-            return team
-        if self._configuration.is_behind or not self._configuration.is_current:
-            raise StaleConfigurationError(
-                'the key is unknown, but the configuration may be out of date',
-            )
-        raise UnknownKeyError
-
-    def _with_team(self, pairs: Headers, team: TeamProfile | None) -> Headers:
-        """Replace the key of a request by the name of its team."""
-        if not self._configuration.keys.requires_keys:
-            return pairs
-        hidden = {self._profile.key.lower(), self._profile.team.lower()}
-        kept = tuple(pair for pair in pairs if pair[0].lower() not in hidden)
-        if team is None:
-            return kept
-        return (*kept, (self._profile.team, team.name))
-
     def _require_known_service(self, host: str) -> None:
         """Refuse a host whose service the configuration doesn't have.
 
@@ -396,16 +362,6 @@
     return route.request_class or DEFAULT_CLASS
 
 
-def _priority(route: HostRoute, team: TeamProfile | None) -> int:
-    """Return the priority of a request: its team's if that has one.
-
-    Priorities below 0 count as 0, the highest one.
-    """
-    if team is None or team.priority is None:
-        return max(route.priority, 0)
-    return max(team.priority, 0)
-
-
 def _objective_margin_s(route: HostRoute) -> float:
     """Return the time between the objective and the deadline of a request.
 
