--- a/standins/platform.py
+++ b/standins/platform.py
@@ -28,6 +28,8 @@
 OPERATOR_CALL_ROUNDS: Final = 200
 ATTEMPT_ID_HEADER: Final = 'X-Lycheespar-Attempt-Id'
 DEADLINE_HEADER: Final = 'X-Lycheespar-Deadline-Ms'
+KEY_HEADER: Final = 'Api-Key'
+TEAM_HEADER: Final = 'X-Lycheespar-Tenant-Name'
 RESPONSE_SEAL_HEADER: Final = 'X-Lycheespar-Response-Seal'
 SERVER_LOAD_HEADER: Final = 'X-Lycheespar-Server-Load'
 _PID: Final = os.getpid()
@@ -149,6 +151,8 @@
         How often each attempt id was run.
     request_errors : list[str]
         What was wrong with the headers of requests.
+    teams : set[str]
+        Names of the tenants that requests named.
     work_s : float
         Time of a request in seconds.
     work_ms : dict[str, float]
@@ -173,6 +177,7 @@
         self.identity = identity
         self.runs: Counter[str] = Counter()
         self.request_errors: list[str] = []
+        self.teams: set[str] = set()
         self.work_s = 0.01
         self.work_ms: dict[str, float] = {}
         self.slowdown = 1.0
@@ -273,6 +278,9 @@
         return base_s * self.slowdown
 
     def _check_headers(self, request: web.BaseRequest) -> None:
+        self.teams.update(request.headers.getall(TEAM_HEADER, ()))
+        if KEY_HEADER in request.headers:
+            self.request_errors.append('request with a key')
         if not request.headers.get('X-Lycheespar-Caller-Service'):
             self.request_errors.append(
                 'request without the service of its caller'
