--- a/lycheespar/membership/own_records.py
+++ b/lycheespar/membership/own_records.py
@@ -52,29 +52,19 @@
 ) -> MemberRecord:
     """Return the record with the announced target, or without a target."""
     if announcement is None:
-        absent = _retarget(record, '', '', Phase.absent, 0)
-        return replace(absent, target_version='')
-    retargeted = _retarget(
-        record,
-        announcement.service_name,
-        announcement.target,
-        announcement.membership_phase,
-        announcement.slots,
-    )
-    return replace(retargeted, target_version=announcement.version)
-
-
-def _retarget(
-    record: MemberRecord,
-    service: str,
-    target: str,
-    phase: Phase,
-    slots: int,
-) -> MemberRecord:
+        return replace(
+            record,
+            service='',
+            target='',
+            phase=Phase.absent,
+            slots=0,
+            target_version='',
+        )
     return replace(
         record,
-        service=service,
-        target=target,
-        phase=phase,
-        slots=slots,
+        service=announcement.service_name,
+        target=announcement.target,
+        phase=announcement.membership_phase,
+        slots=announcement.slots,
+        target_version=announcement.version,
     )
