--- a/lycheespar/quotas/dispatch.py
+++ b/lycheespar/quotas/dispatch.py
@@ -26,8 +26,8 @@
 from lycheespar.telemetry.quota_events import OwnerUnreachable, QuotaExceeded
 
 # Longest wait in seconds for the owner's word. A reply takes milliseconds; the
-# rest is for opening a channel to a busy node, which took over 50 ms for 3 in 100
-# calls.
+# rest is for opening a channel to a busy node: with 50 ms, 3 in 100 calls got no
+# reply in time.
 ASK_TIMEOUT_S: Final = 0.25
 # Time in seconds for which an owner that gave no answer is not asked again.
 PAUSE_S: Final = 0.5
