--- a/lycheespar/quotas/dispatch.py
+++ b/lycheespar/quotas/dispatch.py
@@ -6,8 +6,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, Protocol
 
-from loguru import logger
-
 from lycheespar.call import Answer, Call, Dispatch
 from lycheespar.configuration.stamp import boot_time_s
 from lycheespar.configuration.view import ConfigurationView
@@ -26,16 +24,14 @@
 from lycheespar.telemetry.quota_events import OwnerUnreachable, QuotaExceeded
 
 # Longest wait in seconds for the owner's word. A reply takes milliseconds; the
-# rest is for opening a channel to a busy node: with 50 ms, 3 in 100 calls got no
-# reply in time.
+# rest is for opening a channel to a busy node: within 50 ms, 3 in 100 calls got
+# no reply.
 ASK_TIMEOUT_S: Final = 0.25
 # Time in seconds for which an owner that gave no answer is not asked again.
 PAUSE_S: Final = 0.5
 # Least time in seconds after which a caller over its quota may come back.
 MIN_RETRY_AFTER_S: Final = 0.05
 
-log = logger.bind(part='quotas')
-
 
 class QuotaNodes(Protocol):
     """Other nodes, which own quotas."""
