Tests: full disks are tested with a leader that does not step down by itself

Traced in its output: the leader's heartbeats were late by more than the election time-out of 150 ms, it stepped down ('no longer leads in term 3'), and hosts whose disks are full can't store a vote for another one, which is intended. The election time-out of this test is 1.5 s now, as of the one for new disks; its checks are as before.

--- a/lycheespar/tests/control/disks_tests.py
+++ b/lycheespar/tests/control/disks_tests.py
@@ -13,6 +13,7 @@
 )
 from lycheespar.tests.control.groups import (
     TIMING,
+    Hosts,
     accept,
     command,
     fill_disks,
@@ -24,6 +25,14 @@
 PATIENT_TIMING = Timing(TIMING.heartbeat_s, 10 * TIMING.election_timeout_s)
 
 
+def _restart_with_patience(hosts: Hosts) -> None:
+    """Restart all hosts with a longer election time-out."""
+    for host in hosts.all:
+        host.timing = PATIENT_TIMING
+        host.crash()
+        host.start()
+
+
 async def test_two_hosts_with_lost_disks_do_not_form_a_new_group(hosts):
     """A new group would lose the changes that the third host still has."""
     await hosts.wait_until_settled()
@@ -73,10 +82,7 @@
 
 async def test_new_disk_is_admitted_only_by_a_majority_of_the_old_voters(hosts):
     # The leader must not step down before the new disk has heard from it.
-    for host in hosts.all:
-        host.timing = PATIENT_TIMING
-        host.crash()
-        host.start()
+    _restart_with_patience(hosts)
     await hosts.wait_until_settled()
     leader = await hosts.wait_for_leader()
     crashed, lost = (host for host in hosts.all if host is not leader)
@@ -113,6 +119,8 @@
 async def test_changes_are_rejected_while_all_disks_are_full(
     hosts, monkeypatch
 ):
+    # Hosts whose disks are full can't store a vote, so no other leader follows.
+    _restart_with_patience(hosts)
     await hosts.wait_until_settled()
     await accept(hosts, 'kept')
     fill_disks(monkeypatch, {host.name for host in hosts.all})
