--- a/lycheespar/rollouts/controller.py
+++ b/lycheespar/rollouts/controller.py
@@ -17,7 +17,12 @@
 from lycheespar.membership.records import MemberRecord, Phase
 from lycheespar.rollouts.collection import EvidenceDifference
 from lycheespar.rollouts.evidence import TargetEvidence
-from lycheespar.rollouts.order import Rollout, RolloutChange
+from lycheespar.rollouts.order import (
+    EndRollout,
+    Rollout,
+    RolloutChange,
+    StepRollout,
+)
 from lycheespar.rollouts.schedule import Progress, next_change
 from lycheespar.rollouts.verdict import VersionJudge
 from lycheespar.telemetry.events import events
@@ -159,21 +164,7 @@
     async def _submit(self, change: RolloutChange, progress: Progress) -> None:
         command = Command(uuid.uuid4().hex, ANY_REVISION, OPERATOR_NAME, change)
         revision = await self._host.submit(command)
-        events.write(
-            RolloutChanged(
-                change.service,
-                change.version,
-                type(change).__name__,
-                getattr(
-                    change, 'share', float(getattr(change, 'succeeded', 0))
-                ),
-                getattr(change, 'reason', ''),
-                round(progress.elapsed_s, 3),
-                progress.judgement.answers,
-                round(progress.capacity, 3),
-                revision,
-            ),
-        )
+        events.write(_change_event(change, progress, revision))
 
     def _capacity(self, rollout: Rollout) -> float:
         """Return the slots of warm new targets as a share of the old ones."""
@@ -232,3 +223,28 @@
             self.share_at = now
             self.revision = revision
             self.confirmed_at = 0.0
+
+
+def _change_event(
+    change: RolloutChange, progress: Progress, revision: int
+) -> RolloutChanged:
+    """Return the event of a step or of the end of a roll-out."""
+    share = 0.0
+    reason = ''
+    match change:
+        case StepRollout():
+            share = change.share
+        case EndRollout():
+            share = float(change.succeeded)
+            reason = change.reason
+    return RolloutChanged(
+        change.service,
+        change.version,
+        type(change).__name__,
+        share,
+        reason,
+        round(progress.elapsed_s, 3),
+        progress.judgement.answers,
+        round(progress.capacity, 3),
+        revision,
+    )
--- a/lycheespar/rollouts/verdict.py
+++ b/lycheespar/rollouts/verdict.py
@@ -38,8 +38,8 @@
 MIN_SLOWNESS: Final = 0.1
 # Answers above this multiple of the old version's median on the route are slow.
 SLOW_RATIO: Final = 3.0
-# Share of a new version's answers that may be slow without any doubt: above it
-# every version counts as bad.
+# Largest shares that the old version is assumed to have, so that a bad version
+# still differs from an old one that is ill.
 MAX_BASELINE: Final = 0.7
 # Answers of the old version on a route from which its median is known.
 MIN_BASELINE_ANSWERS: Final = 30
