Quotas: nodes that start together agree on the owners

Traced in its logs: for 1.9 s after the start each node answered 'over_quota' with itself as the owner. A node knows itself longer than the others, so that it alone was settled and owned all quotas. Settled nodes are preferred only while they are more than half of all now. Test, failing before: test_nodes_that_start_together_agree_on_owners_before_they_are_settled.

--- a/lycheespar/quotas/ring.py
+++ b/lycheespar/quotas/ring.py
@@ -104,8 +104,11 @@
             for record in alive
             if now - self._alive_since[record.node][1] >= SETTLE_S
         ]
+        # A node knows itself for longer than the others when it starts, so that
+        # a few settled nodes are no choice that all nodes share.
+        shared = settled if 2 * len(settled) > len(alive) else alive
         return max(
-            settled or alive,
+            shared,
             key=lambda record: _rank(team, record),
             default=None,
         )
--- a/lycheespar/tests/quotas/quotas_tests.py
+++ b/lycheespar/tests/quotas/quotas_tests.py
@@ -5,10 +5,12 @@
 import pytest
 from msgspec.structs import replace
 
+from lycheespar.membership.records import MemberRecord
+from lycheespar.membership.view import MembershipView
 from lycheespar.quotas.bucket import TokenBucket
-from lycheespar.quotas.ring import SETTLE_S
+from lycheespar.quotas.ring import SETTLE_S, QuotaRing
 from lycheespar.teams.profile import TeamProfile
-from lycheespar.tests.quotas.fleet import Fleet, allowed
+from lycheespar.tests.quotas.fleet import Clock, Fleet, allowed
 
 NODES = 78
 TEAMS = 85
@@ -200,3 +202,24 @@
     assert waits_s == pytest.approx([0.1, 0.2, 0.3, 0.4])
     assert bucket.try_take(5) == 0
     assert bucket.try_take(5) == pytest.approx(0.1)
+
+
+def test_nodes_that_start_together_agree_on_owners_before_they_are_settled():
+    """Each node knows itself a second longer than the others."""
+    clock = Clock()
+    records = [
+        MemberRecord(f'node-{index}', 1, 0, 'h', 1, 2, 'a')
+        for index in range(3)
+    ]
+    views = [MembershipView() for _ in records]
+    rings = [QuotaRing(members, clock) for members in views]
+    for members, own in zip(views, records, strict=True):
+        members.merge(own)
+    clock.now += 1
+    for members in views:
+        for record in records:
+            members.merge(record)
+    clock.now += SETTLE_S - 0.5
+    for number in range(20):
+        owners = {ring.owner(f'team-{number}').node for ring in rings}
+        assert len(owners) == 1
