Names: settings and records no longer repeat the platform's field names

quota_slack is quota_excess, exposure_share is max_exposure, a member's target_version is software_version, and NodeRollouts has start_reporting and stop_reporting. The platform's words are in its folder alone; member records are sent as arrays, so that nothing on the wire changes.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -145,7 +145,7 @@
             settings.name,
             quota_ring,
             self._configuration,
-            settings.quota_slack,
+            settings.quota_excess,
         )
         hello = Hello(settings.name, incarnation, 0)
         self._pool = self._telemetry.new_channel_pool(
@@ -222,7 +222,7 @@
             self._saved_configuration,
         )
         follower.start()
-        self._rollouts.start(lambda: directory.links)
+        self._rollouts.start_reporting(lambda: directory.links)
         await self._start()
         tune_garbage_collector()
         self._serving = True
@@ -230,7 +230,7 @@
         await stopped.wait()
         self._serving = False
         await self._stop()
-        self._rollouts.stop()
+        self._rollouts.stop_reporting()
         follower.stop()
         directory.close()
         context.destroy(linger=0)
--- a/lycheespar/control_app.py
+++ b/lycheespar/control_app.py
@@ -104,13 +104,13 @@
         self, host: ControlHost, members: MembershipView
     ) -> RolloutController | None:
         """Create the controller of roll-outs if the settings enable them."""
-        if not self._settings.exposure_share:
+        if not self._settings.max_exposure:
             return None
         from lycheespar.rollouts.controller import (  # noqa: PLC0415
             RolloutController,
         )
 
-        return RolloutController(host, members, self._settings.exposure_share)
+        return RolloutController(host, members, self._settings.max_exposure)
 
     def _build_gossip(
         self, host: ControlHost, members: MembershipView
--- a/lycheespar/membership/own_records.py
+++ b/lycheespar/membership/own_records.py
@@ -58,7 +58,7 @@
             target='',
             phase=Phase.absent,
             slots=0,
-            target_version='',
+            software_version='',
         )
     return replace(
         record,
@@ -66,5 +66,5 @@
         target=announcement.target,
         phase=announcement.membership_phase,
         slots=announcement.slots,
-        target_version=announcement.version,
+        software_version=announcement.version,
     )
--- a/lycheespar/membership/records.py
+++ b/lycheespar/membership/records.py
@@ -97,7 +97,7 @@
         version.
     control_port : int
         Port on which a control host serves nodes; 0 for other members.
-    target_version : str
+    software_version : str
         Version of the target's software; empty if it announces none.
     """
 
@@ -115,7 +115,7 @@
     liveness: Liveness = Liveness.alive
     refutation: int = 0
     control_port: int = 0
-    target_version: str = ''
+    software_version: str = ''
 
     @property
     def accepts_calls(self) -> bool:
--- a/lycheespar/membership/view.py
+++ b/lycheespar/membership/view.py
@@ -174,7 +174,7 @@
             same_service = self._by_service.setdefault(record.service, {})
             same_service[record.node] = record
             versions = self._versions.setdefault(record.service, Counter())
-            versions[record.target_version] += 1
+            versions[record.software_version] += 1
 
     def _discard(self, record: MemberRecord) -> None:
         self._node_count -= not record.control_port
@@ -184,9 +184,9 @@
         self._by_service.get(record.service, {}).pop(record.node, None)
         versions = self._versions.get(record.service)
         if versions is not None:
-            versions[record.target_version] -= 1
-            if not versions[record.target_version]:
-                versions.pop(record.target_version)
+            versions[record.software_version] -= 1
+            if not versions[record.software_version]:
+                versions.pop(record.software_version)
 
 
 def _bucket_of(node: str) -> int:
--- a/lycheespar/platform/settings.py
+++ b/lycheespar/platform/settings.py
@@ -196,7 +196,7 @@
             # the control hosts; other nodes serve the configuration they have.
             'serve_stale': True,
             'versions_by_order': platform.exposure_share > 0,
-            'quota_slack': max(platform.quota_slack, 1),
+            'quota_excess': max(platform.quota_slack, 1),
             'most_retry_share': min(platform.retry_share * NODE_RETRY_SHARE, 1),
             'saved_retries': max(platform.extra_retries * SAVED_RETRY_SHARE, 1),
             'drain_s': platform.grace_s * DRAIN_SHARE,
@@ -239,7 +239,7 @@
             'replace_after_s': REPLACE_AFTER_S,
             'least_voters': 2 * platform.tolerated_losses + 1,
             'operation_timeout_s': OPERATION_TIMEOUT_S,
-            'exposure_share': platform.exposure_share,
+            'max_exposure': platform.exposure_share,
             'founding': (
                 platform.first_start and platform.host in platform.seeds
             ),
--- a/lycheespar/rollouts/controller.py
+++ b/lycheespar/rollouts/controller.py
@@ -76,13 +76,13 @@
         This control host.
     members : Members
         The known nodes and their targets.
-    exposure_share : float
+    max_exposure : float
         Largest share of the requests that a bad version may get, 0 to 1.
     """
 
     __slots__ = (
-        '_exposure_share',
         '_host',
+        '_max_exposure',
         '_members',
         '_task',
         '_watches',
@@ -92,12 +92,12 @@
         self,
         host: RolloutHost,
         members: Members,
-        exposure_share: float,
+        max_exposure: float,
     ) -> None:
         """Create a stopped controller."""
         self._host = host
         self._members = members
-        self._exposure_share = exposure_share
+        self._max_exposure = max_exposure
         self._watches: dict[tuple[str, str], _Watch] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -157,7 +157,7 @@
             self._capacity(rollout),
             judgement,
         )
-        change = next_change(rollout, progress, self._exposure_share)
+        change = next_change(rollout, progress, self._max_exposure)
         if change is not None:
             await self._submit(change, progress)
 
@@ -173,7 +173,7 @@
         for record in self._members.records_of_service(rollout.service):
             if not record.accepts_calls:
                 continue
-            if record.target_version != rollout.version:
+            if record.software_version != rollout.version:
                 old_slots += record.slots
             elif record.phase is Phase.ready:
                 new_slots += record.slots
--- a/lycheespar/rollouts/node.py
+++ b/lycheespar/rollouts/node.py
@@ -61,7 +61,7 @@
         *,
         enabled: bool,
     ) -> None:
-        """Create the parts; `start` begins to report."""
+        """Create the parts; `start_reporting` begins to report."""
         self._node = node
         self._configuration = configuration
         self._target = target
@@ -84,14 +84,14 @@
             return execution
         return VersionGate(execution, self._target, self.versions)
 
-    def start(self, links: Callable[[], Sequence[Link]]) -> None:
+    def start_reporting(self, links: Callable[[], Sequence[Link]]) -> None:
         """Start to report to the control hosts."""
         if self._enabled:
             offset = zlib.crc32(self._node.encode())
             self._reporter = EvidenceReporter(self._counter, links, offset)
             self._reporter.start()
 
-    def stop(self) -> None:
+    def stop_reporting(self) -> None:
         """Stop reporting."""
         if self._reporter is not None:
             self._reporter.stop()
--- a/lycheespar/rollouts/schedule.py
+++ b/lycheespar/rollouts/schedule.py
@@ -76,7 +76,7 @@
 def next_change(
     rollout: Rollout,
     progress: Progress,
-    exposure_share: float,
+    max_exposure: float,
 ) -> RolloutChange | None:
     """Return the next change of a running roll-out; None to wait.
 
@@ -86,13 +86,13 @@
         The roll-out.
     progress : Progress
         What is known about it.
-    exposure_share : float
+    max_exposure : float
         Largest share of the requests between order and deadline that a bad
         version may get, 0 to 1.
     """
     if progress.judgement.bad:
         return _end(rollout, progress, progress.judgement.reason)
-    first = exposure_share * FIRST_SHARE
+    first = max_exposure * FIRST_SHARE
     if rollout.share < first:
         return _step(rollout, progress, first)
     if rollout.share >= 1:
--- a/lycheespar/rollouts/versions.py
+++ b/lycheespar/rollouts/versions.py
@@ -205,4 +205,4 @@
 def _of_version(
     records: Sequence[MemberRecord], version: str
 ) -> list[MemberRecord]:
-    return [record for record in records if record.target_version == version]
+    return [record for record in records if record.software_version == version]
--- a/lycheespar/settings/definitions.py
+++ b/lycheespar/settings/definitions.py
@@ -73,7 +73,7 @@
         'Whether targets of a new version get requests only by a roll-out.',
         default=False,
     )
-    quota_slack = Number(
+    quota_excess = Number(
         "Calls beyond a team's quota that are tolerated in a few seconds.",
         20,
         low=1,
@@ -192,7 +192,7 @@
         10,
         low=0.1,
     )
-    exposure_share = Number(
+    max_exposure = Number(
         'Largest share of the requests between the order and the deadline of '
         'a roll-out that a bad version may get, 0 to 1; 0 disables roll-outs.',
         0,
--- a/lycheespar/tests/rollouts/controller_tests.py
+++ b/lycheespar/tests/rollouts/controller_tests.py
@@ -156,7 +156,7 @@
         version,
         phase,
         6,
-        target_version=version,
+        software_version=version,
     )
 
 
--- a/lycheespar/tests/rollouts/versions_tests.py
+++ b/lycheespar/tests/rollouts/versions_tests.py
@@ -47,7 +47,7 @@
         f'target-{index}',
         Phase.ready,
         3,
-        target_version=version,
+        software_version=version,
     )
 
 
@@ -91,7 +91,7 @@
     def versions(self, *, first: bool = True) -> set[str]:
         records = list(self.members.records_of_service(SERVICE))
         narrowed = self.routing.narrow(SERVICE, records, first_attempt=first)
-        return {record.target_version for record in narrowed}
+        return {record.software_version for record in narrowed}
 
     def count_new(self, calls: int) -> int:
         return sum(self.versions() == {NEW} for _ in range(calls))
@@ -125,7 +125,7 @@
 def test_cold_targets_of_a_new_version_get_no_share():
     site = _Site(replace(RUNNING, share=0.9))
     for record in tuple(site.members.records_of_service(SERVICE)):
-        if record.target_version == NEW:
+        if record.software_version == NEW:
             site.members.merge(replace(record, version=1, phase=Phase.cold))
     assert site.count_new(50) == 0
 
@@ -164,10 +164,10 @@
     old = [
         record
         for record in site.members.records_of_service(SERVICE)
-        if record.target_version == OLD
+        if record.software_version == OLD
     ]
     narrowed = site.routing.narrow(SERVICE, old, first_attempt=True)
-    assert {record.target_version for record in narrowed} == {OLD}
+    assert {record.software_version for record in narrowed} == {OLD}
 
 
 def test_targets_of_removed_nodes_do_not_count_towards_a_version():
