--- a/lycheespar/rollouts/node.py
+++ b/lycheespar/rollouts/node.py
@@ -5,16 +5,20 @@
 import random
 import zlib
 from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
 
 from lycheespar.call import Execution
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.membership.view import MembershipView
 from lycheespar.rollouts.evidence import CountedClient, EvidenceCounter
-from lycheespar.rollouts.reporter import EvidenceReporter, Link
+from lycheespar.rollouts.reporter import EvidenceReporter
 from lycheespar.rollouts.versions import VersionGate, VersionRouting
 from lycheespar.targets.announcement import LocalTarget
 from lycheespar.targets.client import Client
 
+if TYPE_CHECKING:
+    from lycheespar.control.configuration_follower import NodeLink
+
 
 class NodeRollouts:
     """Routes by version, checks the local target's version and reports on it.
@@ -84,7 +88,7 @@
             return execution
         return VersionGate(execution, self._target, self.versions)
 
-    def start_reporting(self, links: Callable[[], Sequence[Link]]) -> None:
+    def start_reporting(self, links: Callable[[], Sequence[NodeLink]]) -> None:
         """Start to report to the control hosts."""
         if self._enabled:
             offset = zlib.crc32(self._node.encode())
--- a/lycheespar/rollouts/reporter.py
+++ b/lycheespar/rollouts/reporter.py
@@ -4,18 +4,17 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import Final, Protocol
+from typing import TYPE_CHECKING, Final
 
 from loguru import logger
 
 from lycheespar.control.link import LinkTimeoutError
-from lycheespar.control.messages import (
-    ControlReply,
-    ControlRequest,
-    ReportEvidence,
-)
+from lycheespar.control.messages import ReportEvidence
 from lycheespar.rollouts.evidence import EvidenceCounter
 
+if TYPE_CHECKING:
+    from lycheespar.control.configuration_follower import NodeLink
+
 # Time in seconds between two reports while a roll-out runs.
 REPORT_INTERVAL_S: Final = 0.25
 # Time in seconds after which the next control host is tried.
@@ -24,15 +23,6 @@
 log = logger.bind(part='rollouts')
 
 
-class Link(Protocol):
-    """Link to a control host."""
-
-    async def ask(
-        self, request: ControlRequest, timeout_s: float
-    ) -> ControlReply:
-        """Send a request and wait for its reply."""
-
-
 class EvidenceReporter:
     """Reports the totals of a counter while its service is rolled out.
 
@@ -40,7 +30,7 @@
     ----------
     counter : EvidenceCounter
         Counts the calls at the local target.
-    links : Callable[[], Sequence[Link]]
+    links : Callable[[], Sequence[NodeLink]]
         Returns links to the known control hosts.
     offset : int
         Which link is used first, so that nodes spread over the hosts.
@@ -51,7 +41,7 @@
     def __init__(
         self,
         counter: EvidenceCounter,
-        links: Callable[[], Sequence[Link]],
+        links: Callable[[], Sequence[NodeLink]],
         offset: int,
     ) -> None:
         """Create a stopped reporter."""
