Claims: those who wait for a sync fail when the store closes

Cause: closing the claims cancels their writer, and the future that claims wait for is never set; the stand-in of a control host closes its claims to lose its disk. A real control host cancels its handlers first, so that nodes only see a time-out. Test, failing before for each of its cases: test_claims_that_wait_for_a_sync_fail_when_the_store_closes.

--- a/lycheespar/control/claims.py
+++ b/lycheespar/control/claims.py
@@ -67,6 +67,7 @@
         '_newest_sync',
         '_next_batch',
         '_writer',
+        '_written_batch',
     )
 
     def __init__(
@@ -81,6 +82,7 @@
         self._is_founder = is_founder
         self._claims: dict[bytes, _GrantedClaim] = {}
         self._next_batch: _Batch | None = None
+        self._written_batch: _Batch | None = None
         self._writer: asyncio.Task[None] | None = None
         self._newest_sync: asyncio.Future[None] | None = None
         self._expiry_buckets: dict[int, list[bytes]] = {}
@@ -117,9 +119,12 @@
             return Failure(error.code, error.detail)
 
     def close(self) -> None:
-        """Close the file."""
+        """Close the file; claims that are not synced yet fail."""
         if self._writer is not None:
             self._writer.cancel()
+        for batch in (self._written_batch, self._next_batch):
+            if batch is not None:
+                batch.fail(StorageError('the claims are closed'))
         self._file.close()
 
     async def _handle(self, message: Claim | Release) -> ClaimReply:
@@ -170,13 +175,14 @@
         """Write and sync batch after batch until none is queued."""
         while self._next_batch is not None:
             batch, self._next_batch = self._next_batch, None
+            self._written_batch = batch
             try:
                 await asyncio.to_thread(self._file.append, batch.messages)
             except StorageError as error:
-                batch.synced.set_exception(error)
-                batch.synced.exception()
+                batch.fail(error)
             else:
                 batch.synced.set_result(None)
+            self._written_batch = None
             await self._compact()
         self._writer = None
 
@@ -218,3 +224,10 @@
         self.synced: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
+
+    def fail(self, error: StorageError) -> None:
+        """Fail all who wait for the batch, unless it has been synced."""
+        if not self.synced.done():
+            self.synced.set_exception(error)
+            # Marks the error as retrieved, as perhaps nobody waits.
+            self.synced.exception()
--- a/lycheespar/tests/control/claims_tests.py
+++ b/lycheespar/tests/control/claims_tests.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import os
+import threading
 
 import pytest
 
 from lycheespar.control import claims
 from lycheespar.control.claims import ClaimStore
+from lycheespar.control.claims_file import ClaimsFile
 from lycheespar.control.messages import Claim, ClaimReply, Failure, Release
 
 KEY = b'k' * 16
@@ -151,3 +153,28 @@
         await asyncio.sleep(0)
     assert store._file.records <= 13
     assert await _holder(_open_store(tmp_path), b'b') == b'last'
+
+
+@pytest.mark.parametrize('steps', [1, 2, 3])
+async def test_claims_that_wait_for_a_sync_fail_when_the_store_closes(
+    tmp_path, monkeypatch, steps
+):
+    """Those who waited did so for ever, before and while a batch is written."""
+    written = threading.Event()
+    append = ClaimsFile.append
+
+    def append_late(self, messages):
+        written.wait(1)
+        append(self, messages)
+
+    monkeypatch.setattr(ClaimsFile, 'append', append_late)
+    store = _open_store(tmp_path)
+    first = asyncio.create_task(store.handle(_claim(b'a')))
+    for _ in range(steps):
+        await asyncio.sleep(0)
+    second = asyncio.create_task(store.handle(_claim(b'b', b'l' * 16)))
+    await asyncio.sleep(0)
+    store.close()
+    replies = await asyncio.gather(first, second)
+    written.set()
+    assert all(isinstance(reply, Failure) for reply in replies)
