--- a/lycheespar/admission/crash_guard.py
+++ b/lycheespar/admission/crash_guard.py
@@ -18,7 +18,7 @@
 from lycheespar.streams import GuardedStream, close_stream
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.telemetry.crash_events import CrashUnconfirmed, TargetCrashed
-from lycheespar.telemetry.events import events
+from lycheespar.telemetry.event_log import events
 
 # Time in seconds after a lost connection within which a refused connection or
 # a restart of the target confirms that it has crashed.
--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -32,11 +32,8 @@
 from lycheespar.targets.load import LoadReport
 from lycheespar.targets.notices import read_notices
 from lycheespar.targets.shedding import MISDIRECTED, refusal_error
-from lycheespar.telemetry.events import (
-    TargetChanged,
-    TargetLeaseExpired,
-    events,
-)
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.events import TargetChanged, TargetLeaseExpired
 
 # Time in seconds after the start of a drain in which calls with a streamed body
 # are still accepted: a node that has not heard of the drain yet could not send
--- a/lycheespar/admission/notices.py
+++ b/lycheespar/admission/notices.py
@@ -7,11 +7,8 @@
 from lycheespar.admission.gate import Gate
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.notices import Notices
-from lycheespar.telemetry.events import (
-    TargetLeaving,
-    TargetLimitChanged,
-    events,
-)
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.events import TargetLeaving, TargetLimitChanged
 
 
 class NoticeProcessor:
--- a/lycheespar/admission/suspects.py
+++ b/lycheespar/admission/suspects.py
@@ -30,7 +30,7 @@
     SuspectCleared,
     TrialFailed,
 )
-from lycheespar.telemetry.events import events
+from lycheespar.telemetry.event_log import events
 
 # Time in seconds after a crash for which a convicted fingerprint is refused.
 CONVICTION_S: Final = 60
--- a/lycheespar/control/configuration_follower.py
+++ b/lycheespar/control/configuration_follower.py
@@ -25,7 +25,8 @@
 )
 from lycheespar.control.saved import SavedConfiguration
 from lycheespar.errors import ChangeInvalidError
-from lycheespar.telemetry.events import ConfigurationApplied, events
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.events import ConfigurationApplied
 
 # Bounds of the long-poll time of a pull, in seconds.
 MIN_WAIT_S: Final = 1
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -24,12 +24,8 @@
 from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.settings.options import Address
 from lycheespar.streams import close_stream
-from lycheespar.telemetry.events import (
-    Answered,
-    AnswerTruncated,
-    RequestFailed,
-    events,
-)
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.events import Answered, AnswerTruncated, RequestFailed
 
 KEEPALIVE_TIMEOUT_S: Final = 75
 POLL_INTERVAL_S: Final = 0.02
--- a/lycheespar/membership/broadcast.py
+++ b/lycheespar/membership/broadcast.py
@@ -10,7 +10,8 @@
 from reactivex import Observable
 from reactivex.subject import Subject
 
-from lycheespar.telemetry.events import BroadcastDropped, events
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.events import BroadcastDropped
 
 MAX_BROADCASTS: Final = 256
 # Maximum time to live of a broadcast, in seconds.
--- a/lycheespar/membership/tracker.py
+++ b/lycheespar/membership/tracker.py
@@ -14,7 +14,8 @@
 from lycheespar.membership.suspicion import Suspicions
 from lycheespar.membership.update_queue import UpdateQueue
 from lycheespar.membership.view import MembershipView
-from lycheespar.telemetry.events import MemberChanged, TableReceived, events
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.events import MemberChanged, TableReceived
 
 # Time in seconds for which the record of a dead member is kept.
 DEAD_RETENTION_S: Final = 60
--- a/lycheespar/platform/operators.py
+++ b/lycheespar/platform/operators.py
@@ -32,7 +32,8 @@
 from lycheespar.platform.rpc import is_rpc_call, rpc_response
 from lycheespar.rollouts.order import StartRollout
 from lycheespar.settings.options import Address
-from lycheespar.telemetry.events import OperatorCallEnded, events
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.events import OperatorCallEnded
 
 # Largest body of an operator call in bytes, enough for some ten thousand
 # routes.
--- a/lycheespar/quotas/dispatch.py
+++ b/lycheespar/quotas/dispatch.py
@@ -20,7 +20,7 @@
 from lycheespar.quotas.reserve import QuotaReserve
 from lycheespar.quotas.ring import QuotaRing
 from lycheespar.teams.profile import TeamProfile
-from lycheespar.telemetry.events import events
+from lycheespar.telemetry.event_log import events
 from lycheespar.telemetry.quota_events import OwnerUnreachable, QuotaExceeded
 
 # Longest wait in seconds for the owner's word. A reply takes milliseconds; the
--- a/lycheespar/rollouts/controller.py
+++ b/lycheespar/rollouts/controller.py
@@ -25,7 +25,7 @@
 )
 from lycheespar.rollouts.schedule import Progress, next_change
 from lycheespar.rollouts.verdict import VersionJudge
-from lycheespar.telemetry.events import events
+from lycheespar.telemetry.event_log import events
 from lycheespar.telemetry.rollout_events import RolloutChanged
 
 # Time in seconds between two looks at the running roll-outs.
--- a/lycheespar/routing/router.py
+++ b/lycheespar/routing/router.py
@@ -19,7 +19,8 @@
 from lycheespar.routing.policy import FAILED_STATUSES, RUN_COST
 from lycheespar.routing.progress import CallProgress
 from lycheespar.routing.table import TargetState
-from lycheespar.telemetry.events import AttemptFailed, Hedged, events
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.events import AttemptFailed, Hedged
 
 MS_PER_S: Final = 1000
 _CALL_ID_BYTES: Final = 16
--- a/lycheespar/routing/suspects.py
+++ b/lycheespar/routing/suspects.py
@@ -22,7 +22,7 @@
 from lycheespar.rollouts.versions import VersionRouting
 from lycheespar.routing.pool import ChannelPool
 from lycheespar.telemetry.crash_events import SuspectHandled
-from lycheespar.telemetry.events import events
+from lycheespar.telemetry.event_log import events
 
 # Value in seconds of ``Retry-After`` when no target is available.
 RETRY_AFTER_S = 1
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -28,7 +28,8 @@
     remove_hop_by_hop,
     replace_headers,
 )
-from lycheespar.telemetry.events import AnswerRejected, events
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.events import AnswerRejected
 
 # Time in seconds to open a connection to the target.
 CONNECT_TIMEOUT_S: Final = 1
--- a/lycheespar/targets/notices.py
+++ b/lycheespar/targets/notices.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from lycheespar.profile import HeaderProfile
-from lycheespar.telemetry.events import HeaderIgnored, events
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.events import HeaderIgnored
 
 _FALSE_VALUES: Final = frozenset(('', '0'))
 
--- a/lycheespar/telemetry/gauges.py
+++ b/lycheespar/telemetry/gauges.py
@@ -10,7 +10,7 @@
 from lycheespar.membership.records import Liveness
 from lycheespar.membership.view import MembershipView
 from lycheespar.targets.probes import Prober
-from lycheespar.telemetry.events import events
+from lycheespar.telemetry.event_log import events
 
 if TYPE_CHECKING:
     from lycheespar.control.group import Group
--- a/lycheespar/tests/telemetry/events_tests.py
+++ b/lycheespar/tests/telemetry/events_tests.py
@@ -7,12 +7,8 @@
 
 from loguru import logger
 
-from lycheespar.telemetry.events import (
-    BURST_LINES,
-    AnswerTruncated,
-    ConfigurationApplied,
-    EventLog,
-)
+from lycheespar.telemetry.event_log import BURST_LINES, EventLog
+from lycheespar.telemetry.events import AnswerTruncated, ConfigurationApplied
 from lycheespar.telemetry.logs import LineWriter
 
 
--- a/tools/events_page.py
+++ b/tools/events_page.py
@@ -8,11 +8,19 @@
 
 import msgspec
 
-from lycheespar.telemetry import crash_events, events
+from lycheespar.telemetry import (
+    crash_events,
+    events,
+    quota_events,
+    rollout_events,
+)
 from lycheespar.telemetry.events import Event
 
 PAGE: Final = Path(__file__).parents[1] / 'docs' / 'user' / 'events.md'
-_MODULES: Final = frozenset((events.__name__, crash_events.__name__))
+_MODULES: Final = frozenset(
+    module.__name__
+    for module in (events, crash_events, quota_events, rollout_events)
+)
 
 _INTRODUCTION: Final = """# Events in the logs
 
