--- a/lycheespar/quotas/ring.py
+++ b/lycheespar/quotas/ring.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import Final
 
+import msgspec
+
 from lycheespar.configuration.stamp import boot_time_s
 from lycheespar.membership.records import Liveness, MemberRecord, Phase
 from lycheespar.membership.view import MembershipView
@@ -32,11 +34,11 @@
     """
 
     __slots__ = (
-        '_alive_since',
         '_changed_at',
         '_clock',
         '_largest',
         '_members',
+        '_nodes',
         '_owners',
         '_owners_until',
     )
@@ -49,7 +51,7 @@
         """Subscribe to the changes of the members."""
         self._members = members
         self._clock = clock
-        self._alive_since: dict[str, tuple[int, float]] = {}
+        self._nodes: dict[str, _Node] = {}
         self._owners: dict[str, MemberRecord | None] = {}
         self._owners_until = float('-inf')
         self._largest: tuple[int, float] = (0, float('-inf'))
@@ -84,25 +86,25 @@
         return self._owners[team]
 
     def _remember_size(self) -> None:
-        alive = len(self._alive_since)
+        alive = len(self._nodes)
         largest, seen_at = self._largest
         now = self._clock()
         if alive >= largest or now - seen_at > SIZE_MEMORY_S:
             self._largest = (alive, now)
 
     def _choose(self, team: str, now: float) -> MemberRecord | None:
-        if 2 * len(self._alive_since) <= self.size:
+        if 2 * len(self._nodes) <= self.size:
             return None
         alive = [
             record
-            for node in self._alive_since
-            if (record := self._members.get(node)) is not None
-            and record.phase not in _ENDING
+            for name, node in self._nodes.items()
+            if not node.is_ending
+            and (record := self._members.get(name)) is not None
         ]
         settled = [
             record
             for record in alive
-            if now - self._alive_since[record.node][1] >= SETTLE_S
+            if now - self._nodes[record.node].since >= SETTLE_S
         ]
         # A node knows itself for longer than the others when it starts, so that
         # a few settled nodes are no choice that all nodes share.
@@ -114,23 +116,53 @@
         )
 
     def _update(self, record: MemberRecord) -> None:
-        """Note since when a node is alive; a restart begins anew."""
+        """Note when a node comes, ends or restarts; other changes are ignored.
+
+        Owners are chosen anew only then, as a choice ranks all nodes.
+        """
         if record.control_port:
             return
+        known = self._nodes.get(record.node)
+        if record.liveness is Liveness.dead:
+            if known is not None:
+                self._note_change()
+                self._nodes.pop(record.node)
+            return
+        is_ending = record.phase in _ENDING
+        since = (
+            known.since
+            if known is not None and known.incarnation == record.incarnation
+            else self._clock()
+        )
+        node = _Node(record.incarnation, since, is_ending)
+        if node == known:
+            return
+        self._nodes[record.node] = node
+        self._note_change()
+
+    def _note_change(self) -> None:
+        """Forget the owners, and remember the size before a node is removed."""
         self._owners = {}
-        known = self._alive_since.get(record.node)
-        if record.liveness is Liveness.dead or record.phase in _ENDING:
-            self._changed_at = self._clock()
-        elif known is None or known[0] != record.incarnation:
-            self._changed_at = self._clock()
-            self._alive_since[record.node] = (
-                record.incarnation,
-                self._changed_at,
-            )
-        # Before the node is removed, so that the size counts it.
+        self._changed_at = self._clock()
         self._remember_size()
-        if record.liveness is Liveness.dead:
-            self._alive_since.pop(record.node, None)
+
+
+class _Node(msgspec.Struct, frozen=True):
+    """A node that is alive.
+
+    Attributes
+    ----------
+    incarnation : int
+        Incarnation of the node.
+    since : float
+        Instant from which this incarnation is known.
+    is_ending : bool
+        Whether the node's target drains or has left, as the node soon will.
+    """
+
+    incarnation: int
+    since: float
+    is_ending: bool
 
 
 def _rank(team: str, record: MemberRecord) -> bytes:
