Tests: groups of control hosts run on a virtual clock

All five hosts share one thread, and their messages time out after 40 ms, so a disk whose syncs take 30 ms ends each leadership before its first commit.

--- a/lycheespar/tests/control/disks_tests.py
+++ b/lycheespar/tests/control/disks_tests.py
@@ -20,6 +20,7 @@
     until,
 )
 
+pytestmark = pytest.mark.virtual_clock
 # Election time-out, in seconds, of a group whose leader leads on for a while
 # without a majority.
 PATIENT_TIMING = Timing(TIMING.heartbeat_s, 10 * TIMING.election_timeout_s)
--- a/lycheespar/tests/control/group_tests.py
+++ b/lycheespar/tests/control/group_tests.py
@@ -27,6 +27,8 @@
     until,
 )
 
+pytestmark = pytest.mark.virtual_clock
+
 
 async def test_every_host_accepts_changes(hosts):
     await hosts.wait_until_settled()
--- a/lycheespar/tests/control/history_tests.py
+++ b/lycheespar/tests/control/history_tests.py
@@ -11,6 +11,7 @@
 from lycheespar.tests.control.groups import REPLACING, Hosts, fill_disks
 from lycheespar.tests.control.histories import Recorder, find_violations, settle
 
+pytestmark = pytest.mark.virtual_clock
 OPERATORS = 4
 
 
--- a/lycheespar/tests/control/joining_tests.py
+++ b/lycheespar/tests/control/joining_tests.py
@@ -14,6 +14,8 @@
     until,
 )
 
+pytestmark = pytest.mark.virtual_clock
+
 
 @pytest.fixture
 def hosts(tmp_path):
--- a/lycheespar/tests/control/leadership_tests.py
+++ b/lycheespar/tests/control/leadership_tests.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from lycheespar.control.entries import FormGroup, LogEntry, Proposal
 from lycheespar.control.leadership import Leadership
 from lycheespar.control.peer_messages import Append, AppendReply
@@ -12,6 +14,8 @@
 from lycheespar.control.storage import Storage
 from lycheespar.tests.control.groups import TIMING, command, until
 
+pytestmark = pytest.mark.virtual_clock
+
 
 class _Followers:
     """Peers that acknowledge the log up to a given index."""
