--- a/bench/claims.py
+++ b/bench/claims.py
@@ -11,7 +11,7 @@
 import msgspec
 import psutil
 
-from lycheespar.control.claims import ClaimStore
+from lycheespar.control.claims.claims import ClaimStore
 from lycheespar.control.messages import Claim, ClaimReply
 
 CLAIMS = 100_000
--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -20,10 +20,12 @@
 from lycheespar.call import Dispatch, Execution
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.view import ConfigurationView
-from lycheespar.control.claims_quorum import ClaimQuorum
-from lycheespar.control.configuration_follower import ConfigurationFollower
-from lycheespar.control.directory import ControlDirectory, Link
-from lycheespar.control.saved import SavedConfiguration
+from lycheespar.control.claims.claims_quorum import ClaimQuorum
+from lycheespar.control.following.configuration_follower import (
+    ConfigurationFollower,
+)
+from lycheespar.control.following.directory import ControlDirectory, Link
+from lycheespar.control.following.saved import SavedConfiguration
 from lycheespar.drain import GracefulStop, wait_until_current
 from lycheespar.heap import tune_garbage_collector
 from lycheespar.ingress.call_builder import CallBuilder
--- a/lycheespar/commands/api_client.py
+++ b/lycheespar/commands/api_client.py
@@ -10,8 +10,8 @@
 
 from lycheespar.configuration.changes import Command
 from lycheespar.configuration.model import Configuration
-from lycheespar.control.state import AcceptedChange
-from lycheespar.control.status import StatusReport
+from lycheespar.control.api.status import StatusReport
+from lycheespar.control.state.state import AcceptedChange
 from lycheespar.errors import (
     ApiUnreachableError,
     ChangeConflictError,
--- a/lycheespar/commands/operator_actions.py
+++ b/lycheespar/commands/operator_actions.py
@@ -21,8 +21,8 @@
     PutTemplate,
 )
 from lycheespar.configuration.model import Team, Template
-from lycheespar.control.state import AcceptedChange
-from lycheespar.control.status import StatusReport
+from lycheespar.control.api.status import StatusReport
+from lycheespar.control.state.state import AcceptedChange
 from lycheespar.errors import (
     ChangeConflictError,
     ChangeInvalidError,
--- /dev/null
+++ b/lycheespar/control/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement of the control hosts: election, replication, voters."""
--- a/lycheespar/control/election.py
+++ b/lycheespar/control/agreement/election.py
@@ -7,11 +7,11 @@
 
 from loguru import logger
 
-from lycheespar.control.peer_messages import RequestVote, VoteReply
-from lycheespar.control.peers import Peers, Timing, ask_all
-from lycheespar.control.quorum import has_quorum
-from lycheespar.control.replica import Replica, Role
-from lycheespar.control.roster import Roster
+from lycheespar.control.agreement.peer_messages import RequestVote, VoteReply
+from lycheespar.control.agreement.peers import Peers, Timing, ask_all
+from lycheespar.control.agreement.quorum import has_quorum
+from lycheespar.control.agreement.replica import Replica, Role
+from lycheespar.control.agreement.roster import Roster
 from lycheespar.errors import StorageError
 
 log = logger.bind(part='control')
--- a/lycheespar/control/follower_progress.py
+++ b/lycheespar/control/agreement/follower_progress.py
@@ -4,9 +4,13 @@
 
 from typing import Final
 
-from lycheespar.control.peer_messages import Append, Install, LogPosition
-from lycheespar.control.quorum import NEVER, Voter
-from lycheespar.control.replica import Replica
+from lycheespar.control.agreement.peer_messages import (
+    Append,
+    Install,
+    LogPosition,
+)
+from lycheespar.control.agreement.quorum import NEVER, Voter
+from lycheespar.control.agreement.replica import Replica
 
 ENTRIES_PER_MESSAGE: Final = 64
 
--- a/lycheespar/control/group.py
+++ b/lycheespar/control/agreement/group.py
@@ -15,14 +15,12 @@
 
 from lycheespar.configuration.changes import Command
 from lycheespar.configuration.stamp import Stamp
-from lycheespar.control.election import Election
-from lycheespar.control.group_formation import GroupFormation
-from lycheespar.control.joining import Joining
-from lycheespar.control.leader_messages import LeaderMessageHandler
-from lycheespar.control.leadership import Leadership
-from lycheespar.control.link import LinkTimeoutError
-from lycheespar.control.messages import Failure
-from lycheespar.control.peer_messages import (
+from lycheespar.control.agreement.election import Election
+from lycheespar.control.agreement.group_formation import GroupFormation
+from lycheespar.control.agreement.joining import Joining
+from lycheespar.control.agreement.leader_messages import LeaderMessageHandler
+from lycheespar.control.agreement.leadership import Leadership
+from lycheespar.control.agreement.peer_messages import (
     Append,
     AskReadIndex,
     Identify,
@@ -36,12 +34,14 @@
     RequestVote,
     StampReply,
 )
-from lycheespar.control.peers import Peers, Timing
-from lycheespar.control.relay import StampRelay
-from lycheespar.control.replica import Replica
-from lycheespar.control.roster import Roster
-from lycheespar.control.state import GroupState, revision_of
-from lycheespar.control.vote_handler import VoteHandler
+from lycheespar.control.agreement.peers import Peers, Timing
+from lycheespar.control.agreement.relay import StampRelay
+from lycheespar.control.agreement.replica import Replica
+from lycheespar.control.agreement.roster import Roster
+from lycheespar.control.agreement.vote_handler import VoteHandler
+from lycheespar.control.link import LinkTimeoutError
+from lycheespar.control.messages import Failure
+from lycheespar.control.state.state import GroupState, revision_of
 from lycheespar.errors import (
     NoQuorumError,
     NotLeaderError,
--- a/lycheespar/control/group_formation.py
+++ b/lycheespar/control/agreement/group_formation.py
@@ -7,10 +7,10 @@
 
 from loguru import logger
 
-from lycheespar.control.peer_messages import Identified, Identify
-from lycheespar.control.peers import Peers, Timing, ask_all
-from lycheespar.control.replica import Replica
-from lycheespar.control.roster import Roster
+from lycheespar.control.agreement.peer_messages import Identified, Identify
+from lycheespar.control.agreement.peers import Peers, Timing, ask_all
+from lycheespar.control.agreement.replica import Replica
+from lycheespar.control.agreement.roster import Roster
 from lycheespar.errors import StorageError
 
 log = logger.bind(part='control')
--- a/lycheespar/control/joining.py
+++ b/lycheespar/control/agreement/joining.py
@@ -5,10 +5,10 @@
 import asyncio
 from typing import Final
 
-from lycheespar.control.peer_messages import Join, Joined
-from lycheespar.control.peers import Peers, Timing, ask_all
-from lycheespar.control.replica import Replica
-from lycheespar.control.roster import Roster
+from lycheespar.control.agreement.peer_messages import Join, Joined
+from lycheespar.control.agreement.peers import Peers, Timing, ask_all
+from lycheespar.control.agreement.replica import Replica
+from lycheespar.control.agreement.roster import Roster
 
 # Election time-outs without a leader after which a host asks to join.
 LEADERLESS_TIMEOUTS: Final = 2
--- a/lycheespar/control/leader_messages.py
+++ b/lycheespar/control/agreement/leader_messages.py
@@ -7,9 +7,13 @@
 
 from loguru import logger
 
-from lycheespar.control.entries import LogEntry
-from lycheespar.control.peer_messages import Append, AppendReply, Install
-from lycheespar.control.replica import Replica, Role
+from lycheespar.control.agreement.peer_messages import (
+    Append,
+    AppendReply,
+    Install,
+)
+from lycheespar.control.agreement.replica import Replica, Role
+from lycheespar.control.state.entries import LogEntry
 from lycheespar.errors import StorageFullError
 
 log = logger.bind(part='control')
--- a/lycheespar/control/leadership.py
+++ b/lycheespar/control/agreement/leadership.py
@@ -10,22 +10,30 @@
 
 from lycheespar.configuration.changes import Command
 from lycheespar.configuration.stamp import Stamp
-from lycheespar.control.entries import (
+from lycheespar.control.agreement.follower_progress import (
+    FollowerProgress,
+    next_message,
+)
+from lycheespar.control.agreement.notifier import Notifier
+from lycheespar.control.agreement.peer_messages import AppendReply, PeerReply
+from lycheespar.control.agreement.peers import Peers, Timing
+from lycheespar.control.agreement.quorum import (
+    NEVER,
+    Voter,
+    has_quorum,
+    quorum_value,
+)
+from lycheespar.control.agreement.replica import Replica, Role
+from lycheespar.control.agreement.roster import Roster
+from lycheespar.control.agreement.voter_manager import VoterManager
+from lycheespar.control.link import LinkTimeoutError
+from lycheespar.control.state.entries import (
     BeginTerm,
     Content,
     LogEntry,
     Proposal,
 )
-from lycheespar.control.follower_progress import FollowerProgress, next_message
-from lycheespar.control.link import LinkTimeoutError
-from lycheespar.control.notifier import Notifier
-from lycheespar.control.peer_messages import AppendReply, PeerReply
-from lycheespar.control.peers import Peers, Timing
-from lycheespar.control.quorum import NEVER, Voter, has_quorum, quorum_value
-from lycheespar.control.replica import Replica, Role
-from lycheespar.control.roster import Roster
-from lycheespar.control.state import CommandOutcome
-from lycheespar.control.voter_manager import VoterManager
+from lycheespar.control.state.state import CommandOutcome
 from lycheespar.errors import NotLeaderError, StorageFullError
 
 MS_PER_S: Final = 1000
--- a/lycheespar/control/peer_messages.py
+++ b/lycheespar/control/agreement/peer_messages.py
@@ -10,9 +10,9 @@
 
 from lycheespar.configuration.changes import Command
 from lycheespar.configuration.stamp import Stamp
-from lycheespar.control.entries import LogEntry, Voters
 from lycheespar.control.messages import Failure
-from lycheespar.control.state import CommandOutcome, GroupState
+from lycheespar.control.state.entries import LogEntry, Voters
+from lycheespar.control.state.state import CommandOutcome, GroupState
 from lycheespar.rollouts.evidence import TargetEvidence
 
 
--- a/lycheespar/control/peers.py
+++ b/lycheespar/control/agreement/peers.py
@@ -9,8 +9,8 @@
 import msgspec
 import zmq.asyncio
 
+from lycheespar.control.agreement.peer_messages import PeerReply, PeerRequest
 from lycheespar.control.link import ControlLink, LinkTimeoutError
-from lycheespar.control.peer_messages import PeerReply, PeerRequest
 from lycheespar.settings.options import Address, parse_address
 
 
--- a/lycheespar/control/quorum.py
+++ b/lycheespar/control/agreement/quorum.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-from lycheespar.control.entries import (
+from lycheespar.control.state.entries import (
     LogEntry,
     RemoveVoter,
     ReplaceDisk,
--- a/lycheespar/control/relay.py
+++ b/lycheespar/control/agreement/relay.py
@@ -7,11 +7,11 @@
 from msgspec.structs import replace
 
 from lycheespar.configuration.stamp import Stamp
+from lycheespar.control.agreement.peer_messages import AskStamp, StampReply
+from lycheespar.control.agreement.peers import Peers, Timing
+from lycheespar.control.agreement.quorum import NEVER
+from lycheespar.control.agreement.replica import Replica
 from lycheespar.control.link import LinkTimeoutError
-from lycheespar.control.peer_messages import AskStamp, StampReply
-from lycheespar.control.peers import Peers, Timing
-from lycheespar.control.quorum import NEVER
-from lycheespar.control.replica import Replica
 
 MS_PER_S = 1000
 
--- a/lycheespar/control/replica.py
+++ b/lycheespar/control/agreement/replica.py
@@ -15,7 +15,12 @@
 from loguru import logger
 from msgspec.structs import replace
 
-from lycheespar.control.entries import (
+from lycheespar.control.agreement.notifier import Notifier
+from lycheespar.control.agreement.peer_messages import (
+    LogPosition,
+)
+from lycheespar.control.agreement.quorum import Voter, voter_sets
+from lycheespar.control.state.entries import (
     FIRST_INDEX,
     FIRST_TERM,
     FormGroup,
@@ -24,13 +29,8 @@
     ReplaceDisk,
     Voters,
 )
-from lycheespar.control.notifier import Notifier
-from lycheespar.control.peer_messages import (
-    LogPosition,
-)
-from lycheespar.control.quorum import Voter, voter_sets
-from lycheespar.control.state import GroupState
-from lycheespar.control.storage import Storage
+from lycheespar.control.state.state import GroupState
+from lycheespar.control.storage.storage import Storage
 from lycheespar.errors import (
     OtherGroupError,
     StorageDamagedError,
--- a/lycheespar/control/roster.py
+++ b/lycheespar/control/agreement/roster.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from lycheespar.control.replica import Replica
+from lycheespar.control.agreement.replica import Replica
 
 
 class Roster:
--- a/lycheespar/control/stamps.py
+++ b/lycheespar/control/agreement/stamps.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from lycheespar.configuration.stamp import Stamp, boot_time_s
-from lycheespar.control.group import Group
+from lycheespar.control.agreement.group import Group
 
 
 class GroupStamps:
--- a/lycheespar/control/vote_handler.py
+++ b/lycheespar/control/agreement/vote_handler.py
@@ -4,9 +4,13 @@
 
 import asyncio
 
-from lycheespar.control.peer_messages import LogPosition, RequestVote, VoteReply
-from lycheespar.control.peers import Timing
-from lycheespar.control.replica import Replica, Role
+from lycheespar.control.agreement.peer_messages import (
+    LogPosition,
+    RequestVote,
+    VoteReply,
+)
+from lycheespar.control.agreement.peers import Timing
+from lycheespar.control.agreement.replica import Replica, Role
 
 
 class VoteHandler:
--- a/lycheespar/control/voter_manager.py
+++ b/lycheespar/control/agreement/voter_manager.py
@@ -8,16 +8,16 @@
 
 from loguru import logger
 
-from lycheespar.control.entries import (
+from lycheespar.control.agreement.follower_progress import FollowerProgress
+from lycheespar.control.agreement.peers import Timing
+from lycheespar.control.agreement.replica import Replica
+from lycheespar.control.agreement.roster import Roster
+from lycheespar.control.state.entries import (
     RemoveVoter,
     ReplaceDisk,
     VoterChange,
     Voters,
 )
-from lycheespar.control.follower_progress import FollowerProgress
-from lycheespar.control.peers import Timing
-from lycheespar.control.replica import Replica
-from lycheespar.control.roster import Roster
 
 # Seconds without a reply after which a host that does not vote is forgotten.
 FORGET_AFTER_S: Final = 30
--- /dev/null
+++ b/lycheespar/control/api/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' API of a control host, and what it reports."""
--- a/lycheespar/control/api.py
+++ b/lycheespar/control/api/api.py
@@ -10,8 +10,8 @@
 from loguru import logger
 
 from lycheespar.configuration.changes import Command
+from lycheespar.control.api.status import StatusReport, status_of
 from lycheespar.control.host import ControlHost
-from lycheespar.control.status import StatusReport, status_of
 from lycheespar.errors import (
     ChangeConflictError,
     ChangeInvalidError,
--- a/lycheespar/control/progress.py
+++ b/lycheespar/control/api/progress.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from lycheespar.control.peer_messages import NodeProgress
+from lycheespar.control.agreement.peer_messages import NodeProgress
 
 # Reports of nodes that have not pulled for this long, in seconds, are dropped.
 REPORT_TTL_S: Final = 30
--- a/lycheespar/control/status.py
+++ b/lycheespar/control/api/status.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lycheespar.control.entries import Voters
+from lycheespar.control.state.entries import Voters
 
 if TYPE_CHECKING:
     from lycheespar.control.host import ControlHost
--- a/lycheespar/control/claims.py
+++ b/lycheespar/control/claims/claims.py
@@ -20,7 +20,7 @@
 from loguru import logger
 
 from lycheespar.configuration.changes import MAX_KEY_RETENTION_S
-from lycheespar.control.claims_file import ClaimsFile, FileHeader
+from lycheespar.control.claims.claims_file import ClaimsFile, FileHeader
 from lycheespar.control.messages import Claim, ClaimReply, Failure, Release
 from lycheespar.errors import ClaimsSuspendedError, StorageError
 
--- a/lycheespar/control/claims_file.py
+++ b/lycheespar/control/claims/claims_file.py
@@ -10,9 +10,13 @@
 import msgspec
 from loguru import logger
 
-from lycheespar.control.files import replace_file, storage_error, write_all
 from lycheespar.control.messages import Claim, Release
-from lycheespar.control.records import encode_record, read_records
+from lycheespar.control.storage.files import (
+    replace_file,
+    storage_error,
+    write_all,
+)
+from lycheespar.control.storage.records import encode_record, read_records
 from lycheespar.errors import StorageDamagedError, StorageError
 
 _DAMAGED_SUFFIX: Final = '.damaged'
--- /dev/null
+++ b/lycheespar/control/following/__init__.py
@@ -0,0 +1,1 @@
+"""Links of nodes to the control hosts, and the followed configuration."""
--- a/lycheespar/control/configuration_follower.py
+++ b/lycheespar/control/following/configuration_follower.py
@@ -15,6 +15,7 @@
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.stamp import MS_PER_S
 from lycheespar.configuration.view import ConfigurationView
+from lycheespar.control.following.saved import SavedConfiguration
 from lycheespar.control.link import LinkTimeoutError
 from lycheespar.control.messages import (
     ControlReply,
@@ -23,7 +24,6 @@
     Pull,
     PullReply,
 )
-from lycheespar.control.saved import SavedConfiguration
 from lycheespar.errors import ChangeInvalidError
 from lycheespar.telemetry.event_log import events
 from lycheespar.telemetry.events import ConfigurationApplied
--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -12,8 +12,23 @@
 from lycheespar.configuration.changes import Command
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.stamp import MS_PER_S
-from lycheespar.control.claims import ClaimStore
-from lycheespar.control.group import Group
+from lycheespar.control.agreement.group import Group
+from lycheespar.control.agreement.peer_messages import (
+    AskEvidence,
+    AskProgress,
+    EvidenceReply,
+    PeerReply,
+    PeerRequest,
+    ProgressReply,
+)
+from lycheespar.control.agreement.peers import PeerLinks, Timing, ask_all
+from lycheespar.control.agreement.replica import Replica
+from lycheespar.control.api.progress import (
+    ProgressReport,
+    ProgressTracker,
+    build_report,
+)
+from lycheespar.control.claims.claims import ClaimStore
 from lycheespar.control.link import LinkServer
 from lycheespar.control.messages import (
     Claim,
@@ -26,22 +41,7 @@
     Release,
     ReportEvidence,
 )
-from lycheespar.control.peer_messages import (
-    AskEvidence,
-    AskProgress,
-    EvidenceReply,
-    PeerReply,
-    PeerRequest,
-    ProgressReply,
-)
-from lycheespar.control.peers import PeerLinks, Timing, ask_all
-from lycheespar.control.progress import (
-    ProgressReport,
-    ProgressTracker,
-    build_report,
-)
-from lycheespar.control.replica import Replica
-from lycheespar.control.storage import Storage
+from lycheespar.control.storage.storage import Storage
 from lycheespar.errors import ControlError, NotCurrentError
 from lycheespar.membership.records import Liveness, MemberRecord
 from lycheespar.rollouts.collection import EvidenceTable
--- /dev/null
+++ b/lycheespar/control/state/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated state of the control hosts and the entries that change it."""
--- a/lycheespar/control/state.py
+++ b/lycheespar/control/state/state.py
@@ -14,7 +14,7 @@
     is_base_outdated,
 )
 from lycheespar.configuration.model import Configuration
-from lycheespar.control.entries import (
+from lycheespar.control.state.entries import (
     BeginTerm,
     FormGroup,
     LogEntry,
--- /dev/null
+++ b/lycheespar/control/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files of a control host: log, snapshots, votes."""
--- a/lycheespar/control/journal.py
+++ b/lycheespar/control/storage/journal.py
@@ -9,9 +9,13 @@
 import msgspec
 from loguru import logger
 
-from lycheespar.control.entries import LogEntry
-from lycheespar.control.files import replace_file, storage_error, write_all
-from lycheespar.control.records import encode_record, read_records
+from lycheespar.control.state.entries import LogEntry
+from lycheespar.control.storage.files import (
+    replace_file,
+    storage_error,
+    write_all,
+)
+from lycheespar.control.storage.records import encode_record, read_records
 from lycheespar.errors import StorageDamagedError, StorageError
 
 log = logger.bind(part='control')
--- a/lycheespar/control/storage.py
+++ b/lycheespar/control/storage/storage.py
@@ -17,16 +17,16 @@
 from loguru import logger
 from msgspec.structs import replace
 
-from lycheespar.control.entries import LogEntry
-from lycheespar.control.files import (
+from lycheespar.control.state.entries import LogEntry
+from lycheespar.control.state.state import GroupState
+from lycheespar.control.storage.files import (
     replace_file,
     reserve,
     storage_error,
     sync_folder,
 )
-from lycheespar.control.journal import Journal
-from lycheespar.control.records import encode_record, read_records
-from lycheespar.control.state import GroupState
+from lycheespar.control.storage.journal import Journal
+from lycheespar.control.storage.records import encode_record, read_records
 from lycheespar.errors import (
     StorageDamagedError,
     StorageError,
--- a/lycheespar/control_app.py
+++ b/lycheespar/control_app.py
@@ -51,7 +51,7 @@
 
     async def run(self, stopped: asyncio.Event) -> None:
         """Serve until the event is set, then stop."""
-        from lycheespar.control.api import OperatorApi  # noqa: PLC0415
+        from lycheespar.control.api.api import OperatorApi  # noqa: PLC0415
         from lycheespar.control.host import ControlHost  # noqa: PLC0415
 
         settings = self._settings
@@ -120,7 +120,7 @@
         Through gossip, nodes find the control hosts, and control hosts find
         each other.
         """
-        from lycheespar.control.stamps import GroupStamps  # noqa: PLC0415
+        from lycheespar.control.agreement.stamps import GroupStamps  # noqa: PLC0415
 
         settings = self._settings
         if settings.gossip is None:
--- a/lycheespar/rollouts/controller.py
+++ b/lycheespar/rollouts/controller.py
@@ -12,7 +12,7 @@
 from lycheespar.configuration.changes import ANY_REVISION, Command
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.stamp import boot_time_s
-from lycheespar.control.progress import ProgressReport
+from lycheespar.control.api.progress import ProgressReport
 from lycheespar.errors import ControlError
 from lycheespar.membership.records import MemberRecord, Phase
 from lycheespar.rollouts.collection import EvidenceDifference
--- a/lycheespar/rollouts/node.py
+++ b/lycheespar/rollouts/node.py
@@ -17,7 +17,7 @@
 from lycheespar.targets.client import Client
 
 if TYPE_CHECKING:
-    from lycheespar.control.configuration_follower import NodeLink
+    from lycheespar.control.following.configuration_follower import NodeLink
 
 
 class NodeRollouts:
--- a/lycheespar/rollouts/reporter.py
+++ b/lycheespar/rollouts/reporter.py
@@ -13,7 +13,7 @@
 from lycheespar.rollouts.evidence import EvidenceCounter
 
 if TYPE_CHECKING:
-    from lycheespar.control.configuration_follower import NodeLink
+    from lycheespar.control.following.configuration_follower import NodeLink
 
 # Time in seconds between two reports while a roll-out runs.
 REPORT_INTERVAL_S: Final = 0.25
--- a/lycheespar/routing/keyed.py
+++ b/lycheespar/routing/keyed.py
@@ -23,7 +23,7 @@
     replay_outcome,
 )
 from lycheespar.call import Answer, Call, Dispatch
-from lycheespar.control.claims_quorum import (
+from lycheespar.control.claims.claims_quorum import (
     ClaimQuorum,
     HeldByOther,
     Unavailable,
--- a/lycheespar/telemetry/gauges.py
+++ b/lycheespar/telemetry/gauges.py
@@ -13,7 +13,7 @@
 from lycheespar.telemetry.event_log import events
 
 if TYPE_CHECKING:
-    from lycheespar.control.group import Group
+    from lycheespar.control.agreement.group import Group
     from lycheespar.membership.endpoint import Endpoint
     from lycheespar.routing.budget import RetryBudgets
 
--- a/lycheespar/tests/commands/operator_actions_tests.py
+++ b/lycheespar/tests/commands/operator_actions_tests.py
@@ -13,7 +13,7 @@
 from click.testing import CliRunner, Result
 
 from lycheespar.__main__ import cli
-from lycheespar.control.api import OperatorApi
+from lycheespar.control.api.api import OperatorApi
 from lycheespar.control.host import ControlHost
 from lycheespar.control.link import ControlLink
 from lycheespar.control.messages import ControlReply, Pull
--- a/lycheespar/tests/control/conftest.py
+++ b/lycheespar/tests/control/agreement/conftest.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from lycheespar.tests.control.groups import Hosts
+from lycheespar.tests.control.agreement.groups import Hosts
 from lycheespar.tests.virtual_loop import VirtualLoop
 
 _LOOP_SEED = 1
--- a/lycheespar/tests/control/disks_tests.py
+++ b/lycheespar/tests/control/agreement/disks_tests.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from lycheespar.control.peer_messages import LogPosition, RequestVote
-from lycheespar.control.peers import Timing
+from lycheespar.control.agreement.peer_messages import LogPosition, RequestVote
+from lycheespar.control.agreement.peers import Timing
 from lycheespar.errors import (
     StorageFullError,
 )
-from lycheespar.tests.control.groups import (
+from lycheespar.tests.control.agreement.groups import (
     TIMING,
     Hosts,
     accept,
--- a/lycheespar/tests/control/faults.py
+++ b/lycheespar/tests/control/agreement/faults.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 
-from lycheespar.tests.control.groups import Hosts, until
+from lycheespar.tests.control.agreement.groups import Hosts, until
 
 
 class Faults:
--- a/lycheespar/tests/control/group_tests.py
+++ b/lycheespar/tests/control/agreement/group_tests.py
@@ -7,19 +7,19 @@
 import pytest
 
 from lycheespar.configuration.stamp import Stamp
-from lycheespar.control.messages import Failure
-from lycheespar.control.peer_messages import (
+from lycheespar.control.agreement.peer_messages import (
     LogPosition,
     RequestVote,
     StampReply,
 )
-from lycheespar.control.relay import StampRelay
-from lycheespar.control.replica import Replica
+from lycheespar.control.agreement.relay import StampRelay
+from lycheespar.control.agreement.replica import Replica
+from lycheespar.control.messages import Failure
 from lycheespar.errors import (
     ChangeConflictError,
     ChangeInvalidError,
 )
-from lycheespar.tests.control.groups import (
+from lycheespar.tests.control.agreement.groups import (
     TIMING,
     Hosts,
     accept,
--- a/lycheespar/tests/control/groups.py
+++ b/lycheespar/tests/control/agreement/groups.py
@@ -17,16 +17,16 @@
 import pytest
 
 from lycheespar.configuration.changes import Command, TakeOutDataCentre
-from lycheespar.control import files
-from lycheespar.control.entries import FormGroup, LogEntry, Proposal
-from lycheespar.control.group import Group
+from lycheespar.control.agreement.group import Group
+from lycheespar.control.agreement.peer_messages import PeerReply, PeerRequest
+from lycheespar.control.agreement.peers import Timing
+from lycheespar.control.agreement.replica import Replica
 from lycheespar.control.link import LinkTimeoutError
 from lycheespar.control.messages import Failure
-from lycheespar.control.peer_messages import PeerReply, PeerRequest
-from lycheespar.control.peers import Timing
-from lycheespar.control.replica import Replica
-from lycheespar.control.state import GroupState
-from lycheespar.control.storage import Storage
+from lycheespar.control.state.entries import FormGroup, LogEntry, Proposal
+from lycheespar.control.state.state import GroupState
+from lycheespar.control.storage import files
+from lycheespar.control.storage.storage import Storage
 from lycheespar.errors import ControlError
 
 TIMING: Final = Timing(0.02, 0.15)
--- a/lycheespar/tests/control/histories.py
+++ b/lycheespar/tests/control/agreement/histories.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from lycheespar.control.group import Group
-from lycheespar.control.state import GroupState
+from lycheespar.control.agreement.group import Group
+from lycheespar.control.state.state import GroupState
 from lycheespar.errors import (
     ChangeConflictError,
     ControlError,
@@ -18,7 +18,12 @@
     StorageError,
     StorageFullError,
 )
-from lycheespar.tests.control.groups import Host, Hosts, command, until
+from lycheespar.tests.control.agreement.groups import (
+    Host,
+    Hosts,
+    command,
+    until,
+)
 
 # Time-out of one attempt of a change or read, in seconds.
 ATTEMPT_TIMEOUT_S: Final = 0.4
--- a/lycheespar/tests/control/history_tests.py
+++ b/lycheespar/tests/control/agreement/history_tests.py
@@ -7,9 +7,17 @@
 
 import pytest
 
-from lycheespar.tests.control.faults import Faults
-from lycheespar.tests.control.groups import REPLACING, Hosts, fill_disks
-from lycheespar.tests.control.histories import Recorder, find_violations, settle
+from lycheespar.tests.control.agreement.faults import Faults
+from lycheespar.tests.control.agreement.groups import (
+    REPLACING,
+    Hosts,
+    fill_disks,
+)
+from lycheespar.tests.control.agreement.histories import (
+    Recorder,
+    find_violations,
+    settle,
+)
 
 pytestmark = pytest.mark.virtual_clock
 OPERATORS = 4
--- a/lycheespar/tests/control/joining_tests.py
+++ b/lycheespar/tests/control/agreement/joining_tests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lycheespar.tests.control.groups import (
+from lycheespar.tests.control.agreement.groups import (
     REPLACING,
     TIMING,
     Hosts,
--- a/lycheespar/tests/control/leadership_tests.py
+++ b/lycheespar/tests/control/agreement/leadership_tests.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from lycheespar.control.entries import FormGroup, LogEntry, Proposal
-from lycheespar.control.leadership import Leadership
-from lycheespar.control.peer_messages import Append, AppendReply
-from lycheespar.control.replica import Replica, Role
-from lycheespar.control.roster import Roster
-from lycheespar.control.storage import Storage
-from lycheespar.tests.control.groups import TIMING, command, until
+from lycheespar.control.agreement.leadership import Leadership
+from lycheespar.control.agreement.peer_messages import Append, AppendReply
+from lycheespar.control.agreement.replica import Replica, Role
+from lycheespar.control.agreement.roster import Roster
+from lycheespar.control.state.entries import FormGroup, LogEntry, Proposal
+from lycheespar.control.storage.storage import Storage
+from lycheespar.tests.control.agreement.groups import TIMING, command, until
 
 pytestmark = pytest.mark.virtual_clock
 
--- a/lycheespar/tests/control/claims_tests.py
+++ b/lycheespar/tests/control/claims/claims_tests.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from lycheespar.control import claims
-from lycheespar.control.claims import ClaimStore
-from lycheespar.control.claims_file import ClaimsFile
+from lycheespar.control.claims import claims
+from lycheespar.control.claims.claims import ClaimStore
+from lycheespar.control.claims.claims_file import ClaimsFile
 from lycheespar.control.messages import Claim, ClaimReply, Failure, Release
 
 KEY = b'k' * 16
@@ -135,7 +135,7 @@
         raise OSError(28, 'No space left on device')
 
     monkeypatch.setattr(
-        'lycheespar.control.claims_file.write_all', raise_disk_full
+        'lycheespar.control.claims.claims_file.write_all', raise_disk_full
     )
     assert await _holder(store, b'a') == 'storage_full'
     assert await _holder(store, b'a') == 'storage_full'
--- a/lycheespar/tests/control/configuration_follower_tests.py
+++ b/lycheespar/tests/control/following/configuration_follower_tests.py
@@ -10,10 +10,12 @@
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.stamp import Stamp
 from lycheespar.configuration.view import ConfigurationView
-from lycheespar.control.configuration_follower import ConfigurationFollower
+from lycheespar.control.following.configuration_follower import (
+    ConfigurationFollower,
+)
+from lycheespar.control.following.saved import SavedConfiguration
 from lycheespar.control.link import LinkTimeoutError
 from lycheespar.control.messages import Failure, PullReply
-from lycheespar.control.saved import SavedConfiguration
 from lycheespar.tests.virtual_loop import VirtualLoop, run_virtual, until
 
 POLL_S = 0.01
--- a/lycheespar/tests/control/saved_tests.py
+++ b/lycheespar/tests/control/following/saved_tests.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from lycheespar.configuration.model import Configuration
-from lycheespar.control.saved import SavedConfiguration
+from lycheespar.control.following.saved import SavedConfiguration
 
 SAVED = Configuration(7, data_centres_out=frozenset({'ijmuiden'}))
 
--- a/lycheespar/tests/control/plans_tests.py
+++ b/lycheespar/tests/control/state/plans_tests.py
@@ -12,8 +12,8 @@
     RoutePlan,
     ServiceProfile,
 )
-from lycheespar.control.entries import LogEntry, Proposal
-from lycheespar.control.state import (
+from lycheespar.control.state.entries import LogEntry, Proposal
+from lycheespar.control.state.state import (
     Accepted,
     Conflicted,
     GroupState,
--- a/lycheespar/tests/control/state_tests.py
+++ b/lycheespar/tests/control/state/state_tests.py
@@ -6,10 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lycheespar.control import state as state_module
-from lycheespar.control.entries import LogEntry, Proposal
-from lycheespar.control.state import Accepted, GroupState
-from lycheespar.tests.control.groups import command
+from lycheespar.control.state import state as state_module
+from lycheespar.control.state.entries import LogEntry, Proposal
+from lycheespar.control.state.state import Accepted, GroupState
+from lycheespar.tests.control.agreement.groups import command
 
 _commands = st.tuples(st.integers(0, 12), st.integers(0, 6))
 
--- a/lycheespar/tests/control/power_tests.py
+++ b/lycheespar/tests/control/storage/power_tests.py
@@ -11,9 +11,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lycheespar.control.storage import Storage
-from lycheespar.tests.control.groups import log_entry, state_at
-from lycheespar.tests.control.power import Disk, PowerLossError
+from lycheespar.control.storage.storage import Storage
+from lycheespar.tests.control.agreement.groups import log_entry, state_at
+from lycheespar.tests.control.storage.power import Disk, PowerLossError
 
 UNLIMITED_CALLS: Final = 10**9
 STEPS = st.lists(
--- a/lycheespar/tests/control/storage_tests.py
+++ b/lycheespar/tests/control/storage/storage_tests.py
@@ -13,17 +13,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lycheespar.control import files
-from lycheespar.control.records import read_records
-from lycheespar.control.replica import Replica
-from lycheespar.control.storage import Storage
+from lycheespar.control.agreement.replica import Replica
+from lycheespar.control.storage import files
+from lycheespar.control.storage.records import read_records
+from lycheespar.control.storage.storage import Storage
 from lycheespar.errors import (
     StorageDamagedError,
     StorageError,
     StorageFullError,
     StorageLockedError,
 )
-from lycheespar.tests.control.groups import log_entry, state_at
+from lycheespar.tests.control.agreement.groups import log_entry, state_at
 
 
 def _fill(folder: Path, count: int) -> None:
--- a/lycheespar/tests/rollouts/controller_tests.py
+++ b/lycheespar/tests/rollouts/controller_tests.py
@@ -15,7 +15,7 @@
     RoutePlan,
     ServiceProfile,
 )
-from lycheespar.control.progress import ProgressReport
+from lycheespar.control.api.progress import ProgressReport
 from lycheespar.errors import (
     DeadlineExceededError,
     NoQuorumError,
--- a/lycheespar/tests/routing/site.py
+++ b/lycheespar/tests/routing/site.py
@@ -17,8 +17,8 @@
 from lycheespar.call import Answer, Call, Load
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.view import ConfigurationView
-from lycheespar.control.claims import ClaimStore
-from lycheespar.control.claims_quorum import ClaimQuorum
+from lycheespar.control.claims.claims import ClaimStore
+from lycheespar.control.claims.claims_quorum import ClaimQuorum
 from lycheespar.control.link import LinkTimeoutError
 from lycheespar.control.messages import ControlReply, ControlRequest
 from lycheespar.errors import OverloadedError, TargetLostError
