--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -43,6 +43,7 @@
 from lycheespar.protocol.pending import PendingCall, PendingCalls, build_request
 from lycheespar.protocol.quota_requests import QuotaRequests
 from lycheespar.protocol.start_check import CancelElsewhere, StartCheck
+from lycheespar.quotas.grant import QuotaGrant
 from lycheespar.streams import GuardedStream
 
 # Time in seconds to wait for the `CancelResult` of a call whose deadline has
@@ -322,8 +323,8 @@
                 self._pending.resolve_cancel(call_id, started=started)
             case LoadReply(serial, load):
                 self._load_queries.resolve(serial, load)
-            case QuotaReply(serial, wait_s):
-                self.quotas.resolve(serial, wait_s)
+            case QuotaReply(serial, wait_s, run_share):
+                self.quotas.resolve(serial, QuotaGrant(wait_s, run_share))
             case Ping(serial):
                 self._connection.send(Pong(serial))
             case Pong(_, clock_ms):
--- a/lycheespar/protocol/messages.py
+++ b/lycheespar/protocol/messages.py
@@ -252,10 +252,13 @@
     wait_s : float
         0 if the call is granted; else the time in seconds until a call may be
         granted, negative if the receiver does not own the quota.
+    run_share : float
+        Share of the team's recently granted calls that were run, 0 to 1.
     """
 
     serial: int
     wait_s: float
+    run_share: float = 1.0
 
 
 class QuotaReturn(_Message, frozen=True, tag=18):
--- a/lycheespar/protocol/quota_grants.py
+++ b/lycheespar/protocol/quota_grants.py
@@ -11,20 +11,14 @@
     QuotaRequest,
     QuotaReturn,
 )
+from lycheespar.quotas.grant import QuotaGrant
 
 
 class QuotaGrants(Protocol):
     """Quotas that this node owns."""
 
-    def take(self, name: str) -> float:
-        """Take a call from a team's quota.
-
-        Returns
-        -------
-        float
-            0 if the call is granted; else the time in seconds until a call
-            may be granted, negative if this node does not own the quota.
-        """
+    def take(self, name: str) -> QuotaGrant:
+        """Take a call from a team's quota, if it has one left."""
 
     def put_back(self, name: str) -> None:
         """Return a call that was granted, but did not run."""
@@ -36,6 +30,7 @@
     """Handle a message on quotas; any other message has no effect."""
     match message:
         case QuotaRequest(serial, team):
-            connection.send(QuotaReply(serial, quotas.take(team)))
+            grant = quotas.take(team)
+            connection.send(QuotaReply(serial, grant.wait_s, grant.run_share))
         case QuotaReturn(team):
             quotas.put_back(team)
--- a/lycheespar/protocol/quota_requests.py
+++ b/lycheespar/protocol/quota_requests.py
@@ -7,6 +7,7 @@
 from lycheespar.errors import ChannelClosedError
 from lycheespar.protocol.connection import FrameConnection
 from lycheespar.protocol.messages import QuotaRequest, QuotaReturn
+from lycheespar.quotas.grant import QuotaGrant
 
 
 class QuotaRequests:
@@ -23,11 +24,11 @@
     def __init__(self, connection: FrameConnection) -> None:
         """Start without open requests."""
         self._connection = connection
-        self._open: dict[int, asyncio.Future[float]] = {}
+        self._open: dict[int, asyncio.Future[QuotaGrant]] = {}
         self._serial = 0
 
-    async def take(self, team: str) -> float:
-        """Ask for a call of a team's quota; return the owner's word.
+    async def take(self, team: str) -> QuotaGrant:
+        """Ask for a call of a team's quota; return its answer.
 
         Raises
         ------
@@ -36,7 +37,7 @@
         """
         self._serial += 1
         serial = self._serial
-        reply: asyncio.Future[float] = (
+        reply: asyncio.Future[QuotaGrant] = (
             asyncio.get_running_loop().create_future()
         )
         self._open[serial] = reply
@@ -50,11 +51,11 @@
         """Return a call to a team's quota."""
         self._connection.send(QuotaReturn(team))
 
-    def resolve(self, serial: int, wait_s: float) -> None:
+    def resolve(self, serial: int, grant: QuotaGrant) -> None:
         """Resolve a request; a late reply has no effect."""
         reply = self._open.get(serial)
         if reply is not None and not reply.done():
-            reply.set_result(wait_s)
+            reply.set_result(grant)
 
     def fail_all(self) -> None:
         """Fail the open requests, as the channel is lost."""
--- a/lycheespar/protocol/remote_node.py
+++ b/lycheespar/protocol/remote_node.py
@@ -19,6 +19,7 @@
 from lycheespar.protocol.channel import Channel
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.opening import open_channel
+from lycheespar.quotas.grant import QuotaGrant
 
 # Time in seconds for which a call may be resent to the same node with the same
 # id. It starts when the call is first sent, and again when a channel is lost on
@@ -134,14 +135,8 @@
             self._opening.add_done_callback(_retrieve_error)
         return None
 
-    async def take_quota(self, team: str) -> float:
-        """Take a call from a quota that the node owns.
-
-        Returns
-        -------
-        float
-            0 if the call is granted; else the time in seconds until a call
-            may be granted, negative if the node does not own the quota.
+    async def take_quota(self, team: str) -> QuotaGrant:
+        """Take a call from a quota that the node owns, if it has one left.
 
         Raises
         ------
--- a/lycheespar/quotas/dispatch.py
+++ b/lycheespar/quotas/dispatch.py
@@ -16,12 +16,22 @@
     RefusedError,
 )
 from lycheespar.membership.records import MemberRecord
-from lycheespar.quotas.owner import NOT_OWNER, QuotaOwner
+from lycheespar.quotas.fair_share import (
+    PREFERRED_WEIGHT,
+    RunShare,
+    is_disadvantaged,
+)
+from lycheespar.quotas.grant import NOT_OWNER, QuotaGrant
+from lycheespar.quotas.owner import QuotaOwner
 from lycheespar.quotas.reserve import QuotaReserve
 from lycheespar.quotas.ring import QuotaRing
 from lycheespar.teams.profile import TeamProfile
 from lycheespar.telemetry.event_log import events
-from lycheespar.telemetry.quota_events import OwnerUnreachable, QuotaExceeded
+from lycheespar.telemetry.quota_events import (
+    OwnerUnreachable,
+    QuotaExceeded,
+    TeamPreferred,
+)
 
 # Longest wait in seconds for the owner's word. A reply takes milliseconds; the
 # rest is for opening a channel to a busy node: within 50 ms, 3 in 100 calls got
@@ -36,7 +46,9 @@
 class QuotaNodes(Protocol):
     """Other nodes, which own quotas."""
 
-    def take_quota(self, record: MemberRecord, team: str) -> Awaitable[float]:
+    def take_quota(
+        self, record: MemberRecord, team: str
+    ) -> Awaitable[QuotaGrant]:
         """Take a call from a quota at its owner, as `QuotaOwner.take`."""
 
     def put_back_quota(self, record: MemberRecord, team: str) -> None:
@@ -46,6 +58,9 @@
 class QuotaDispatch:
     """Dispatches calls that their team's quota allows.
 
+    A call of a team that is served far less often than all teams gets the
+    highest priority.
+
     Parameters
     ----------
     dispatch : Dispatch
@@ -65,6 +80,7 @@
     """
 
     __slots__ = (
+        '_all_runs',
         '_clock',
         '_configuration',
         '_dispatch',
@@ -94,6 +110,7 @@
         self._reserve = reserve
         self._clock = clock
         self._paused_until: dict[str, float] = {}
+        self._all_runs = RunShare()
 
     async def dispatch(self, call: Call) -> Answer:
         """Run a call that the quota of its team allows.
@@ -113,22 +130,25 @@
         if team is None or not team.calls_per_s:
             return await self._dispatch.dispatch(call)
         owner = await self._take(call, team)
+        self._all_runs.add_call(self._clock())
         try:
             return await self._dispatch.dispatch(call)
         except RefusedError:
+            self._all_runs.add_refusal(self._clock())
             self._put_back(owner, team.name)
             raise
 
     async def _take(self, call: Call, team: TeamProfile) -> MemberRecord | None:
         """Take the call from the quota; return the owner that granted it."""
         owner = self._ring.owner(team.name)
-        wait_s = NOT_OWNER
+        grant = NOT_OWNER
         if owner is not None:
-            wait_s = await self._ask(owner, team.name)
-        if not wait_s:
+            grant = await self._ask(owner, team.name)
+        if grant.is_granted:
+            self._prefer_if_disadvantaged(call, grant)
             return owner
-        if wait_s != NOT_OWNER:
-            retry_s = max(wait_s, MIN_RETRY_AFTER_S)
+        if grant.is_from_owner:
+            retry_s = max(grant.wait_s, MIN_RETRY_AFTER_S)
             node = '' if owner is None else owner.node
             events.write(
                 QuotaExceeded(
@@ -141,7 +161,23 @@
             raise QuotaUnavailableError(retry_after_s=PAUSE_S)
         return None
 
-    async def _ask(self, owner: MemberRecord, team: str) -> float:
+    def _prefer_if_disadvantaged(self, call: Call, grant: QuotaGrant) -> None:
+        all_share = self._all_runs.share(self._clock())
+        is_preferred = call.weight < PREFERRED_WEIGHT and is_disadvantaged(
+            grant.run_share, all_share
+        )
+        if is_preferred:
+            call.weight = PREFERRED_WEIGHT
+            events.write(
+                TeamPreferred(
+                    call.request_id,
+                    call.team,
+                    round(grant.run_share, 3),
+                    round(all_share, 3),
+                )
+            )
+
+    async def _ask(self, owner: MemberRecord, team: str) -> QuotaGrant:
         """Ask an owner; return `NOT_OWNER` if it gives no answer."""
         if self._local.owns(team):
             return self._local.take(team)
--- a/lycheespar/quotas/owner.py
+++ b/lycheespar/quotas/owner.py
@@ -13,6 +13,8 @@
 from lycheespar.configuration.stamp import boot_time_s
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.quotas.bucket import TokenBucket
+from lycheespar.quotas.fair_share import RunShare
+from lycheespar.quotas.grant import NOT_OWNER, QuotaGrant
 from lycheespar.quotas.ring import QuotaRing
 from lycheespar.teams.profile import TeamProfile
 
@@ -28,12 +30,32 @@
 # Longest time in seconds that a refused caller is told to stay away. A longer
 # one would leave callers no time for another try.
 MAX_WAIT_S: Final = 2.0
-# Wait that tells the asking node that this node does not own the quota.
-NOT_OWNER: Final = -1.0
+
+
+class _OwnedQuota:
+    """State of one team's quota.
+
+    Attributes
+    ----------
+    team : TeamProfile
+        The team, with the limits of the bucket.
+    bucket : TokenBucket
+        Calls that may be granted.
+    runs : RunShare
+        Share of the granted calls that were run.
+    """
+
+    __slots__ = ('bucket', 'runs', 'team')
+
+    def __init__(self, team: TeamProfile, bucket: TokenBucket) -> None:
+        """Create the state of a quota from which nothing was granted."""
+        self.team = team
+        self.bucket = bucket
+        self.runs = RunShare()
 
 
 class QuotaOwner:
-    """Token buckets of the teams that this node owns.
+    """Quotas of the teams that this node owns.
 
     Parameters
     ----------
@@ -50,10 +72,10 @@
     """
 
     __slots__ = (
-        '_buckets',
         '_clock',
         '_configuration',
         '_node',
+        '_quotas',
         '_ring',
         '_slack',
     )
@@ -66,13 +88,13 @@
         slack: float,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
-        """Create an owner without buckets."""
+        """Create an owner that has granted nothing."""
         self._node = node
         self._ring = ring
         self._configuration = configuration
         self._slack = slack
         self._clock = clock
-        self._buckets: dict[str, tuple[TeamProfile, TokenBucket]] = {}
+        self._quotas: dict[str, _OwnedQuota] = {}
 
     def owns(self, team: str) -> bool:
         """Whether this node owns the quota of a team.
@@ -83,40 +105,41 @@
         owner = self._ring.owner(team)
         if owner is not None and owner.node == self._node:
             return True
-        self._buckets.pop(team, None)
+        self._quotas.pop(team, None)
         return False
 
-    def take(self, name: str) -> float:
-        """Take a call from a team's quota.
-
-        Returns
-        -------
-        float
-            0 if the call is granted; else the time in seconds until a call
-            may be granted, or `NOT_OWNER`.
-        """
+    def take(self, name: str) -> QuotaGrant:
+        """Take a call from a team's quota, if it has one left."""
         if not self.owns(name):
             return NOT_OWNER
         team = self._configuration.current.plan.teams.get(name)
         if team is None or not team.calls_per_s:
-            return 0
+            return QuotaGrant()
         now = self._clock()
-        return min(self._bucket(team, now).try_take(now), MAX_WAIT_S)
+        quota = self._quota(team, now)
+        wait_s = min(quota.bucket.try_take(now), MAX_WAIT_S)
+        run_share = quota.runs.share(now)
+        if not wait_s:
+            quota.runs.add_call(now)
+        return QuotaGrant(wait_s, run_share)
 
     def put_back(self, name: str) -> None:
         """Return a call that was granted, but did not run."""
-        known = self._buckets.get(name)
-        if known is not None:
-            known[1].put_back()
+        quota = self._quotas.get(name)
+        if quota is not None:
+            quota.bucket.put_back()
+            quota.runs.add_refusal(self._clock())
 
-    def _bucket(self, team: TeamProfile, now: float) -> TokenBucket:
-        known_team, bucket = self._buckets.get(team.name, (None, None))
+    def _quota(self, team: TeamProfile, now: float) -> _OwnedQuota:
+        quota = self._quotas.get(team.name)
         capacity = team.burst + BURST_SLACK_PART * self._slack
-        if bucket is None:
+        if quota is None:
             is_stable = self._ring.unchanged_s >= STABLE_S
             first = capacity if is_stable else FIRST_SLACK_PART * self._slack
             bucket = TokenBucket(now, team.calls_per_s, capacity, first)
-        elif known_team is not team:
-            bucket.configure(now, team.calls_per_s, capacity)
-        self._buckets[team.name] = (team, bucket)
-        return bucket
+            quota = _OwnedQuota(team, bucket)
+            self._quotas[team.name] = quota
+        elif quota.team is not team:
+            quota.bucket.configure(now, team.calls_per_s, capacity)
+            quota.team = team
+        return quota
--- a/lycheespar/routing/pool.py
+++ b/lycheespar/routing/pool.py
@@ -8,6 +8,7 @@
 from lycheespar.membership.records import MemberRecord
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.remote_node import RemoteNode
+from lycheespar.quotas.grant import QuotaGrant
 
 
 class ChannelPool:
@@ -37,7 +38,7 @@
         """Query the load of a node's target; None if no channel is open."""
         return self.remote_node(record).query_load()
 
-    async def take_quota(self, record: MemberRecord, team: str) -> float:
+    async def take_quota(self, record: MemberRecord, team: str) -> QuotaGrant:
         """Take a call from a quota at its owner, as `RemoteNode` says."""
         return await self.remote_node(record).take_quota(team)
 
--- a/lycheespar/telemetry/quota_events.py
+++ b/lycheespar/telemetry/quota_events.py
@@ -27,6 +27,26 @@
     retry_after_s: float
 
 
+class TeamPreferred(RequestEvent, frozen=True, tag='team_preferred'):
+    """A request got the highest priority: its team is hardly served.
+
+    Attributes
+    ----------
+    team : str
+        Name of the team.
+    run_share : float
+        Share of the team's recent calls that were run, 0 to 1.
+    all_share : float
+        The same for the calls of all teams at this node.
+    """
+
+    part: ClassVar[str] = 'quotas'
+
+    team: str
+    run_share: float
+    all_share: float
+
+
 class OwnerUnreachable(Event, frozen=True, tag='quota_owner_silent'):
     """The owner of a team's quota gave no answer; the reserve is used.
 
--- a/lycheespar/tests/protocol/nodes.py
+++ b/lycheespar/tests/protocol/nodes.py
@@ -14,6 +14,7 @@
 from lycheespar.protocol.messages import Hello
 from lycheespar.protocol.remote_node import RemoteNode
 from lycheespar.protocol.server import ChannelServer
+from lycheespar.quotas.grant import QuotaGrant
 from standins.link import Link
 
 LOAD = Load()
@@ -45,13 +46,13 @@
 class FakeQuotas:
     """Owner of quotas that gives the same word on each call."""
 
-    def __init__(self, wait_s: float = 0) -> None:
-        self.wait_s = wait_s
+    def __init__(self) -> None:
+        self.grant = QuotaGrant()
         self.returned: list[str] = []
 
     def take(self, name: str) -> float:
         """Return the word on a call."""
-        return self.wait_s
+        return self.grant
 
     def put_back(self, name: str) -> None:
         """Note a call that was given back."""
--- a/lycheespar/tests/protocol/remote_node_tests.py
+++ b/lycheespar/tests/protocol/remote_node_tests.py
@@ -19,6 +19,7 @@
 from lycheespar.protocol.incoming_channel import IncomingChannel
 from lycheespar.protocol.messages import Request
 from lycheespar.protocol.remote_node import RemoteNode
+from lycheespar.quotas.grant import QuotaGrant
 from lycheespar.tests.protocol.nodes import (
     CLIENT,
     Node,
@@ -275,8 +276,8 @@
 
 async def test_quotas_are_taken_and_returned_over_the_channel():
     async with running_node() as node:
-        node.quotas.wait_s = 0.25
-        assert await node.remote.take_quota('hule') == 0.25
+        node.quotas.grant = QuotaGrant(0.25, 0.5)
+        assert await node.remote.take_quota('hule') == QuotaGrant(0.25, 0.5)
         node.remote.put_back_quota('hule')
         while not node.quotas.returned:
             await asyncio.sleep(0.01)
--- a/lycheespar/tests/quotas/fleet.py
+++ b/lycheespar/tests/quotas/fleet.py
@@ -20,7 +20,9 @@
 )
 from lycheespar.membership.records import Liveness, MemberRecord
 from lycheespar.membership.view import MembershipView
+from lycheespar.quotas.bucket import TokenBucket
 from lycheespar.quotas.dispatch import QuotaDispatch
+from lycheespar.quotas.grant import QuotaGrant
 from lycheespar.quotas.owner import QuotaOwner
 from lycheespar.quotas.reserve import QuotaReserve
 from lycheespar.quotas.ring import QuotaRing
@@ -30,6 +32,8 @@
 # Terms of a deployment: what may run in any window of this length.
 WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20.0
 STEP_S: Final = 0.01
+# Calls that find room at once after a pause.
+ROOM_CALLS: Final = 8
 
 
 class Clock:
@@ -84,7 +88,7 @@
         )
         self.ring = ring
 
-    async def take_quota(self, record: MemberRecord, team: str) -> float:
+    async def take_quota(self, record: MemberRecord, team: str) -> QuotaGrant:
         """Ask the owner of a quota."""
         other = self._fleet.nodes[record.node]
         if not self._fleet.is_connected(self, other):
@@ -96,7 +100,7 @@
         self._fleet.nodes[record.node].owner.put_back(team)
 
 
-class _Target:
+class Target:
     """Runs the calls that the quotas allow."""
 
     def __init__(self, fleet: Fleet, node: Node) -> None:
@@ -104,7 +108,8 @@
         self._node = node
 
     async def dispatch(self, call: Call) -> Answer:
-        if self._node.full:
+        """Run a call unless the node has no room."""
+        if self._node.full or not self._fleet.has_room(call):
             raise OverloadedError
         self._fleet.ran[call.team].append(self._fleet.clock.now)
         return Answer(200, (), b'', Load())
@@ -126,16 +131,18 @@
         self.source = random.Random(7)
         self._revision = 0
         self._pace: dict[str, float] = {}
+        self._room: TokenBucket | None = None
         for index in range(nodes):
             node = Node(self, index)
             self.nodes[node.name] = node
-            node.dispatch._dispatch = _Target(self, node)
+            node.dispatch._dispatch = Target(self, node)
         self.set_teams(teams)
         self.wait(10)
 
     def set_teams(self, teams: list[TeamProfile]) -> None:
         """Put the limits of teams in force at all nodes."""
         self._revision += 1
+        self._priorities = {team.name: team.priority for team in teams}
         plan = RoutePlan(
             self._revision, teams={team.name: team for team in teams}
         )
@@ -146,6 +153,26 @@
         """Set the calls that a team sends per second."""
         self._pace[team] = per_s
 
+    def limit_room(self, per_s: float) -> None:
+        """Let the targets run only some calls per second.
+
+        Half of the room at any moment is kept for the highest priority.
+        """
+        self._room = TokenBucket(self.clock.now, per_s, ROOM_CALLS, 0)
+
+    def has_room(self, call: Call) -> bool:
+        """Whether a call finds room; heavy calls before light ones."""
+        room = self._room
+        if room is None:
+            return True
+        kept_free = 0 if call.weight == 1 else ROOM_CALLS // 2
+        needed = 1 + kept_free
+        taken = sum(not room.try_take(self.clock.now) for _ in range(needed))
+        found = taken == needed
+        for _ in range(kept_free if found else taken):
+            room.put_back()
+        return found
+
     def wait(self, seconds: float) -> None:
         """Let time pass without calls."""
         self.clock.now += seconds
@@ -160,7 +187,7 @@
         """Restart a node with empty tables."""
         node = self.nodes[name]
         node.restart()
-        node.dispatch._dispatch = _Target(self, node)
+        node.dispatch._dispatch = Target(self, node)
 
     def kill(self, name: str, *, known: bool = True) -> None:
         """End a node, which the others know or not."""
@@ -187,17 +214,22 @@
         steps = round(seconds / STEP_S)
         for _ in range(steps):
             self.clock.now += STEP_S
+            calls: list[str] = []
             for team, per_s in self._pace.items():
                 expected = per_s * STEP_S
                 count = int(expected) + (self.source.random() < expected % 1)
-                for _ in range(count):
-                    await self.send(team)
+                calls.extend(team for _ in range(count))
+            self.source.shuffle(calls)
+            for team in calls:
+                await self.send(team)
 
     async def send(self, team: str) -> None:
         """Send a call at a random node."""
         alive = [node for node in self.nodes.values() if node.alive]
         call = new_call('/a')
         call.team = team
+        priority = self._priorities.get(team) or 0
+        call.weight = 1 / (1 + priority)
         self.asked[team] += 1
         try:
             await self.source.choice(alive).dispatch.dispatch(call)
