Routing: a caller that leaves while a hedge is prepared ends the first run

A dispatch that was cancelled while the target of a hedge was chosen left the first run going on at its target, and one that failed as it was cancelled left an unread error. Both tests failed before.

--- a/lycheespar/routing/hedge.py
+++ b/lycheespar/routing/hedge.py
@@ -37,8 +37,13 @@
     finally:
         for run in runs:
             if run is not winner:
-                run.cancel()
-                run.add_done_callback(_close_unused)
+                abandon(run)
+
+
+def abandon(run: Run) -> None:
+    """Cancel a run whose answer is not needed, without awaiting its end."""
+    run.cancel()
+    run.add_done_callback(_close_unused)
 
 
 def _winner(done: set[Run], *, last: bool) -> Run | None:
--- a/lycheespar/routing/router.py
+++ b/lycheespar/routing/router.py
@@ -15,7 +15,7 @@
 from lycheespar.errors import RequestError
 from lycheespar.routing.attempts import AttemptRunner
 from lycheespar.routing.budget import RetryBudgets
-from lycheespar.routing.hedge import first_answer
+from lycheespar.routing.hedge import abandon, first_answer
 from lycheespar.routing.policy import FAILED_STATUSES, RUN_COST
 from lycheespar.routing.progress import CallProgress
 from lycheespar.routing.table import TargetState
@@ -93,18 +93,11 @@
         """
         first = asyncio.create_task(self._run(call, progress))
         try:
-            done, _ = await asyncio.wait((first,), timeout=delay_s)
+            state = await self._choose_for_hedge(call, progress, first, delay_s)
         except asyncio.CancelledError:
-            first.cancel()
+            abandon(first)
             raise
-        if done:
-            return await first_answer(first)
-        state = await self._attempts.choose(
-            call,
-            progress.tried,
-            only_free=True,
-        )
-        if state is None or first.done() or not progress.charge(RUN_COST):
+        if state is None:
             return await first_answer(first)
         events.write(
             Hedged(call.request_id, state.record.node, delay_s * MS_PER_S),
@@ -114,6 +107,26 @@
         )
         return await first_answer(first, second)
 
+    async def _choose_for_hedge(
+        self,
+        call: Call,
+        progress: CallProgress,
+        first: asyncio.Task[Answer],
+        delay_s: float,
+    ) -> TargetState | None:
+        """Wait for the first run; choose a target for a second one if late."""
+        done, _ = await asyncio.wait((first,), timeout=delay_s)
+        if done:
+            return None
+        state = await self._attempts.choose(
+            call,
+            progress.tried,
+            only_free=True,
+        )
+        if state is None or first.done() or not progress.charge(RUN_COST):
+            return None
+        return state
+
     async def _run(
         self,
         call: Call,
--- a/lycheespar/tests/routing/fakes.py
+++ b/lycheespar/tests/routing/fakes.py
@@ -97,6 +97,7 @@
         self.runs: Counter[str] = Counter()
         self.call_ids: list[bytes] = []
         self.cancelled = 0
+        self.error_when_cancelled: LycheesparError | None = None
 
     async def get(self, target: MemberRecord) -> FakeChannel:
         """Return the channel to a node."""
@@ -117,6 +118,8 @@
                 await asyncio.sleep(step)
             except asyncio.CancelledError:
                 self.cancelled += 1
+                if self.error_when_cancelled is not None:
+                    raise self.error_when_cancelled from None
                 raise
             step = 200
         return Answer(step, (), node.encode(), Load(1, 0, 12, 5))
--- a/lycheespar/tests/routing/router_tests.py
+++ b/lycheespar/tests/routing/router_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 
 import pytest
 
@@ -18,6 +19,7 @@
     TargetLostError,
     TargetRefusedError,
 )
+from lycheespar.routing.attempts import AttemptRunner
 from lycheespar.routing.budget import MAX_SAVED_RETRIES, RetryBudgets
 from lycheespar.tests.routing.fakes import FakeTargets, build_router, make_call
 
@@ -171,6 +173,52 @@
     assert targets.cancelled == started
 
 
+async def test_a_caller_that_leaves_while_a_hedge_is_prepared_cancels_the_run(
+    monkeypatch,
+):
+    targets = FakeTargets(lambda *_: 4.0)
+    router = build_router(targets, hedge_after_ms=5)
+    is_preparing = asyncio.Event()
+
+    async def choose(*_, only_free=False):
+        if not only_free:
+            return await original_choose(*_)
+        is_preparing.set()
+        return await asyncio.Event().wait()
+
+    original_choose = router._attempts.choose
+    monkeypatch.setattr(
+        AttemptRunner, 'choose', lambda _, *a, **k: choose(*a, **k)
+    )
+    task = asyncio.create_task(router.dispatch(make_call()))
+    await is_preparing.wait()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    await asyncio.sleep(0.01)
+    assert targets.cancelled == 1
+
+
+async def test_a_run_that_fails_as_its_caller_leaves_leaves_no_unread_error():
+    """Its error would be logged with a traceback that names no request."""
+    unread: list[str] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(
+        lambda _, context: unread.append(context['message'])
+    )
+    targets = FakeTargets(lambda *_: 4.0)
+    targets.error_when_cancelled = DeadlineExceededError()
+    router = build_router(targets, hedge_after_ms=500)
+    task = asyncio.create_task(router.dispatch(make_call()))
+    while not targets.runs:
+        await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    del task
+    await asyncio.sleep(0.01)
+    gc.collect()
+    assert unread == []
+
+
 @pytest.mark.parametrize('error', [TargetRefusedError(), MisdirectedError()])
 async def test_a_refusal_by_a_target_costs_as_much_as_a_run(error):
     targets = FakeTargets(lambda *_: type(error)())
