Quotas: counts by team at the owner, and an event for a new owner

An operator could not see how many calls of a team were granted, or which node counts them since when. The owner reports the 20 teams with most calls, so that a thousand small teams do not crowd the metrics.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -192,6 +192,7 @@
         self._serving = False
         self._accepts_callers = False
         self._target.changes.subscribe(lambda _: self._publish_target())
+        self._telemetry.add_gauges(self._quotas.gauges)
         self._telemetry.add_gauges(
             partial(
                 retry_and_gossip_gauges,
--- a/lycheespar/quotas/owner.py
+++ b/lycheespar/quotas/owner.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from heapq import nlargest
 from typing import Final
 
 from lycheespar.configuration.stamp import boot_time_s
@@ -17,6 +18,9 @@
 from lycheespar.quotas.grant import NOT_OWNER, QuotaGrant
 from lycheespar.quotas.ring import QuotaRing
 from lycheespar.teams.profile import TeamProfile
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.metrics import metric_name
+from lycheespar.telemetry.quota_events import QuotaOwned
 
 # Part of the tolerated extra calls that is added to each burst, so that a few
 # calls of a small team that come at once are within its limit.
@@ -32,6 +36,11 @@
 MAX_WAIT_S: Final = 2.0
 
 
+# Largest number of teams for which a node reports metrics. At 1,000 teams, a
+# node of a small site owns about this many.
+MAX_REPORTED_TEAMS: Final = 20
+
+
 class _OwnedQuota:
     """State of one team's quota.
 
@@ -43,15 +52,21 @@
         Calls that may be granted.
     runs : RunShare
         Share of the granted calls that were run.
+    granted, denied, returned : int
+        Calls that were granted, those beyond the limit, and those that were
+        granted but did not run, since this node owns the quota.
     """
 
-    __slots__ = ('bucket', 'runs', 'team')
+    __slots__ = ('bucket', 'denied', 'granted', 'returned', 'runs', 'team')
 
     def __init__(self, team: TeamProfile, bucket: TokenBucket) -> None:
         """Create the state of a quota from which nothing was granted."""
         self.team = team
         self.bucket = bucket
         self.runs = RunShare()
+        self.granted = 0
+        self.denied = 0
+        self.returned = 0
 
 
 class QuotaOwner:
@@ -108,6 +123,27 @@
         self._quotas.pop(team, None)
         return False
 
+    def gauges(self) -> dict[str, float]:
+        """Return counts of the owned quotas, those with most calls first.
+
+        Their number is limited, so that many small teams do not crowd the
+        metrics.
+        """
+        now = self._clock()
+        busiest = nlargest(
+            MAX_REPORTED_TEAMS, self._quotas.values(), key=_calls_of
+        )
+        return {
+            f'quota.{metric_name(quota.team.name)}.{name}': count
+            for quota in busiest
+            for name, count in (
+                ('granted', quota.granted),
+                ('denied', quota.denied),
+                ('returned', quota.returned),
+                ('run_share', quota.runs.share(now)),
+            )
+        }
+
     def take(self, name: str) -> QuotaGrant:
         """Take a call from a team's quota, if it has one left."""
         if not self.owns(name):
@@ -119,7 +155,10 @@
         quota = self._quota(team, now)
         wait_s = min(quota.bucket.try_take(now), MAX_WAIT_S)
         run_share = quota.runs.share(now)
-        if not wait_s:
+        if wait_s:
+            quota.denied += 1
+        else:
+            quota.granted += 1
             quota.runs.add_call(now)
         return QuotaGrant(wait_s, run_share)
 
@@ -128,6 +167,7 @@
         quota = self._quotas.get(name)
         if quota is not None:
             quota.bucket.put_back()
+            quota.returned += 1
             quota.runs.add_refusal(self._clock())
 
     def _quota(self, team: TeamProfile, now: float) -> _OwnedQuota:
@@ -139,7 +179,15 @@
             bucket = TokenBucket(now, team.calls_per_s, capacity, first)
             quota = _OwnedQuota(team, bucket)
             self._quotas[team.name] = quota
+            revision = self._configuration.current.revision
+            events.write(
+                QuotaOwned(team.name, revision, team.calls_per_s, first)
+            )
         elif quota.team is not team:
             quota.bucket.configure(now, team.calls_per_s, capacity)
             quota.team = team
         return quota
+
+
+def _calls_of(quota: _OwnedQuota) -> int:
+    return quota.granted + quota.denied
--- a/lycheespar/telemetry/quota_events.py
+++ b/lycheespar/telemetry/quota_events.py
@@ -27,6 +27,31 @@
     retry_after_s: float
 
 
+class QuotaOwned(Event, frozen=True, tag='quota_owned'):
+    """This node has begun to count the calls of a team.
+
+    Attributes
+    ----------
+    team : str
+        Name of the team.
+    revision : int
+        Revision of the configuration with the limit.
+    calls_per_s : float
+        Limit in calls per second.
+    first_calls : float
+        Calls that are granted at once. Few while nodes come and go, as the
+        former owner may have granted the burst.
+    """
+
+    part: ClassVar[str] = 'quotas'
+    rate_limited: ClassVar[bool] = True
+
+    team: str
+    revision: int
+    calls_per_s: float
+    first_calls: float
+
+
 class TeamPreferred(RequestEvent, frozen=True, tag='team_preferred'):
     """A request got the highest priority: its team is hardly served.
 
--- a/lycheespar/tests/quotas/quotas_tests.py
+++ b/lycheespar/tests/quotas/quotas_tests.py
@@ -8,6 +8,7 @@
 from lycheespar.membership.records import MemberRecord
 from lycheespar.membership.view import MembershipView
 from lycheespar.quotas.bucket import TokenBucket
+from lycheespar.quotas.owner import MAX_REPORTED_TEAMS
 from lycheespar.quotas.ring import SETTLE_S, QuotaRing
 from lycheespar.teams.profile import TeamProfile
 from lycheespar.tests.quotas.fleet import Clock, Fleet, allowed
@@ -182,6 +183,21 @@
     assert len(fleet.ran['big']) == 3
 
 
+async def test_the_owner_reports_the_busiest_teams_only():
+    """A label for each of a thousand teams would crowd the metrics."""
+    teams = [replace(BIG, name=f't.{index}') for index in range(40)]
+    fleet = Fleet(1, teams)
+    for team in teams:
+        await fleet.send(team.name)
+    for _ in range(3):
+        await fleet.send('t.7')
+    (node,) = fleet.nodes.values()
+    gauges = node.owner.gauges()
+    assert len(gauges) == 4 * MAX_REPORTED_TEAMS
+    assert gauges['quota.t_7.granted'] == 4
+    assert gauges['quota.t_7.run_share'] == 1
+
+
 async def test_teams_without_a_limit_are_not_counted():
     fleet = Fleet(4, [replace(BIG, calls_per_s=0, burst=0)])
     for _ in range(300):
