Routing: calls without room at any target are refused unsent

Reports of far targets are awaited for as long as they usually take, as the fixed 10 ms kept them unknown. In force where a plan or template refuses by cost. Tried and left out: fewer running calls than slots.

--- a/lycheespar/admission/admitted_weights.py
+++ b/lycheespar/admission/admitted_weights.py
@@ -22,6 +22,11 @@
         """Create a distribution without calls."""
         self._shares: dict[float, float] = {}
 
+    @property
+    def known(self) -> tuple[float, ...]:
+        """Weights of recently admitted calls, the lightest first."""
+        return tuple(sorted(self._shares))
+
     def add(self, weight: float) -> None:
         """Add the weight of an admitted call."""
         self._shares = {
--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -10,6 +10,8 @@
 from lycheespar.admission.limiter import GateLimits, Limiter
 from lycheespar.admission.queue import CallQueue, QueuedCall
 from lycheespar.admission.rates import RateLimits
+from lycheespar.admission.useful_wait import max_useful_wait_s
+from lycheespar.admission.waits import ExpectedWaits
 from lycheespar.call import Call, Load
 from lycheespar.errors import (
     ColdTargetError,
@@ -21,9 +23,6 @@
 
 MS_PER_S: Final = 1000
 MIN_RETRY_AFTER_S: Final = 0.05
-# Share of its remaining time for which a call that will miss its objective may
-# wait.
-LATE_CALL_WAIT_SHARE: Final = 0.25
 
 
 class Gate:
@@ -48,6 +47,7 @@
         '_occupancy',
         '_queue',
         '_running',
+        '_waits',
         'rates',
     )
 
@@ -57,6 +57,7 @@
         self._last_release_at = float('-inf')
         self._queue = CallQueue()
         self._admitted_weights = AdmittedWeights()
+        self._waits = ExpectedWaits(self._queue, self._admitted_weights)
         self._occupancy = LatencyEstimate()
         self._limiter = limiter
         self._limits = GateLimits()
@@ -84,13 +85,20 @@
         While the rate that the target names allows no call, one counts as
         queued, so that other nodes choose other targets.
         """
-        has_to_wait = self.rates.named.wait_s(_now()) > 0
+        now = _now()
+        has_to_wait = self.rates.named.wait_s(now) > 0
+        waits: tuple[tuple[float, float], ...] = ()
+        if self._running >= self.limit:
+            waits = self._waits.by_weight(
+                self._expected_wait_s(1, now), self._limits.queue_limit
+            )
         return Load(
             self._running,
             len(self._queue) or int(has_to_wait),
             self.rates.named.cap_running(self.limit, self._occupancy.mean_s),
             self._occupancy.mean_s * MS_PER_S,
             self._limiter.failure_share,
+            waits=waits,
         )
 
     @property
@@ -264,30 +272,5 @@
         )
 
 
-def max_useful_wait_s(call: Call, now: float, recent_latency_s: float) -> float:
-    """Return the longest wait in seconds that is still of use to a call.
-
-    A longer wait would end in an answer after the call's objective, while
-    another target or a retry by the caller may still meet it. A call that
-    misses its objective anyway waits for a share of its remaining time only,
-    so that a refusal comes early and not at the deadline.
-
-    Parameters
-    ----------
-    call : Call
-        The call.
-    now : float
-        Instant of the event loop's clock, in seconds.
-    recent_latency_s : float
-        Recent latency of calls of this class, in seconds.
-    """
-    if not call.objective_at:
-        return call.deadline - now
-    in_time_s = call.objective_at - now - recent_latency_s
-    if in_time_s > 0:
-        return in_time_s
-    return (call.deadline - now - recent_latency_s) * LATE_CALL_WAIT_SHARE
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/lycheespar/admission/queue.py
+++ b/lycheespar/admission/queue.py
@@ -172,6 +172,11 @@
         rank = (*self._key(call, work_s), _LOWEST_ARRIVAL)
         return len(self._sorted) - bisect_left(self._sorted, rank, key=_rank)
 
+    def count_from_weight(self, weight: float) -> int:
+        """Return the number of queued calls of this weight or a greater one."""
+        rank = (weight, _LOWEST_ARRIVAL, _LOWEST_ARRIVAL)
+        return len(self._sorted) - bisect_left(self._sorted, rank, key=_rank)
+
     def pop_all(self) -> Iterator[QueuedCall]:
         """Remove and return all calls."""
         removed = self._sorted
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -29,6 +29,10 @@
     pace : float
         Current time that work takes on the target's host, as a multiple of
         the usual time; 1 if the target does not report it.
+    waits : tuple[tuple[float, float], ...]
+        While the target is full: for weight 0 and each weight of recent
+        requests, the lightest first, the weight and the expected wait in
+        milliseconds of a new request of this weight.
     """
 
     running: int = 0
@@ -37,6 +41,7 @@
     latency_ms: float = 0
     failure_share: float = 0
     pace: float = 1
+    waits: tuple[tuple[float, float], ...] = ()
 
 
 class Call(msgspec.Struct, gc=False):
--- a/lycheespar/routing/attempts.py
+++ b/lycheespar/routing/attempts.py
@@ -21,18 +21,23 @@
 from lycheespar.membership.records import Liveness, MemberRecord, Phase
 from lycheespar.membership.view import MembershipView
 from lycheespar.rollouts.versions import VersionRouting
+from lycheespar.routing.load_refresh import LoadRefresher
 from lycheespar.routing.picker import Picker
 from lycheespar.routing.pool import ChannelPool
+from lycheespar.routing.room import (
+    MAX_SAMPLES,
+    MS_PER_S,
+    lack_of_room,
+    targets_with_room,
+    wait_s,
+)
 from lycheespar.routing.sizes import AnswerSizes
 from lycheespar.routing.table import TargetState, TargetTable
 from lycheespar.streams import GuardedStream
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.events import NoRoom
 
 SERVER_ERROR: Final = 500
-# A load report that is younger than this, in seconds, is not requested again.
-LOAD_FRESH_S: Final = 0.005
-# Longest wait in seconds for replies to load queries. It allows several round
-# trips between data centres of one region.
-LOAD_QUERY_TIMEOUT_S: Final = 0.01
 _ACCEPTING_PHASES: Final = frozenset((Phase.cold, Phase.ready))
 
 
@@ -61,8 +66,8 @@
 
     __slots__ = (
         '_configuration',
+        '_loads',
         '_local',
-        '_local_load',
         '_members',
         '_node',
         '_picker',
@@ -84,7 +89,7 @@
         versions: VersionRouting,
     ) -> None:
         """Create a runner with an empty target table."""
-        self._local_load = local_load
+        self._loads = LoadRefresher(node, local_load, pool)
         self._versions = versions
         self._sizes = AnswerSizes()
         self._node = node
@@ -121,28 +126,25 @@
         only_free : bool
             Whether to return None unless the chosen target can start the call
             immediately and runs at about its usual pace.
+
+        Raises
+        ------
+        OverloadedError
+            The call's service refuses by cost, and no target has room.
         """
-        eligible = [
-            record
-            for record in self._members.records_of_service(call.service)
-            if record.node not in tried and self._is_eligible(record)
-        ]
-        states = [
-            self._table.state(record)
-            for record in self._versions.narrow(
-                call.service, eligible, first_attempt=not tried
-            )
-        ]
+        states = self._eligible_states(call, tried)
         if not states:
             return None
-        loop = asyncio.get_running_loop()
-        sample = self._picker.sample(states, loop.time())
-        if len(sample) > 1 or only_free:
-            await self._refresh_loads(sample)
-        size_kb = self._sizes.expected_kb(call.request_class)
-        state = self._picker.cheapest(sample, loop.time(), size_kb)
-        if only_free and not state.is_free:
-            return None
+        if only_free:
+            state = self._cheapest(
+                call, await self._loads.refresh(self._sample(states))
+            )
+            if not state.is_free:
+                return None
+        elif self._refuses_without_room(call):
+            state = await self._choose_with_room(call, states)
+        else:
+            state = self._cheapest(call, await self._refreshed_sample(states))
         tried.add(state.record.node)
         return state
 
@@ -166,27 +168,84 @@
         self._sizes.add_answer(call, answer)
         return answer
 
-    async def _refresh_loads(self, states: Sequence[TargetState]) -> None:
-        """Query the current load of targets whose report is outdated."""
+    async def _choose_with_room(
+        self, call: Call, states: Sequence[TargetState]
+    ) -> TargetState:
+        """Choose a target with room for a call; look at a few samples.
+
+        Raises
+        ------
+        OverloadedError
+            No target in these samples has room.
+        """
         loop = asyncio.get_running_loop()
-        fresh_since = loop.time() - LOAD_FRESH_S
-        queries: dict[asyncio.Future[Load], TargetState] = {}
-        for state in states:
-            if state.record.node == self._node:
-                state.update_load(self._local_load(), loop.time())
-            elif state.load_at < fresh_since:
-                reply = self._pool.query_load(state.record)
-                if reply is not None:
-                    queries[reply] = state
-        if not queries:
-            return
-        done, late = await asyncio.wait(queries, timeout=LOAD_QUERY_TIMEOUT_S)
-        now = loop.time()
-        for reply in done:
-            if not reply.cancelled():
-                queries[reply].update_load(reply.result(), now)
-        for reply in late:
-            queries[reply].record_unanswered_query(now)
+        looked_at: list[TargetState] = []
+        for _ in range(MAX_SAMPLES):
+            remaining = [state for state in states if state not in looked_at]
+            if not remaining:
+                break
+            sample = await self._refreshed_sample(remaining)
+            with_room = targets_with_room(call, sample, loop.time())
+            if with_room:
+                return self._cheapest(call, with_room)
+            looked_at.extend(sample)
+        events.write(
+            NoRoom(
+                call.request_id,
+                len(looked_at),
+                round(
+                    min(wait_s(call, state.load) for state in looked_at)
+                    * MS_PER_S,
+                    1,
+                ),
+                round(
+                    max(state.load_age_s for state in looked_at) * MS_PER_S, 1
+                ),
+            )
+        )
+        raise lack_of_room(call, looked_at, loop.time())
+
+    async def _refreshed_sample(
+        self, states: Sequence[TargetState]
+    ) -> Sequence[TargetState]:
+        """Return a sample of the targets, with fresh loads."""
+        sample = self._sample(states)
+        if len(sample) == 1:
+            return sample
+        return await self._loads.refresh(sample)
+
+    def _sample(self, states: Sequence[TargetState]) -> list[TargetState]:
+        return self._picker.sample(states, asyncio.get_running_loop().time())
+
+    def _cheapest(
+        self, call: Call, states: Sequence[TargetState]
+    ) -> TargetState:
+        return self._picker.cheapest(
+            states,
+            asyncio.get_running_loop().time(),
+            self._sizes.expected_kb(call.request_class),
+        )
+
+    def _eligible_states(
+        self, call: Call, tried: set[str]
+    ) -> list[TargetState]:
+        eligible = [
+            record
+            for record in self._members.records_of_service(call.service)
+            if record.node not in tried and self._is_eligible(record)
+        ]
+        return [
+            self._table.state(record)
+            for record in self._versions.narrow(
+                call.service, eligible, first_attempt=not tried
+            )
+        ]
+
+    def _refuses_without_room(self, call: Call) -> bool:
+        """Whether a call is refused unsent if no target has room."""
+        service = self._configuration.services.get(call.service)
+        by_cost = service is not None and service.refuses_by_cost
+        return by_cost and call.objective_at > 0
 
     def _is_eligible(self, record: MemberRecord) -> bool:
         return (
--- a/lycheespar/routing/progress.py
+++ b/lycheespar/routing/progress.py
@@ -84,6 +84,10 @@
             return self._charge_refusal(cost)
         return self.charge(cost)
 
+    def record_lack_of_room(self, error: RefusedError) -> None:
+        """Record that no target has room; nothing was sent or charged."""
+        self._failure = failure_to_report(self._failure, error)
+
     def charge(self, cost: float) -> bool:
         """Charge the budget for an attempt and return whether it may start."""
         self._attempts += 1
--- a/lycheespar/routing/router.py
+++ b/lycheespar/routing/router.py
@@ -12,7 +12,7 @@
 from lycheespar.call import Answer, Call, Load
 from lycheespar.configuration.model import Parameters
 from lycheespar.configuration.view import ConfigurationView
-from lycheespar.errors import RequestError
+from lycheespar.errors import OverloadedError, RequestError
 from lycheespar.routing.attempts import AttemptRunner
 from lycheespar.routing.budget import RetryBudgets
 from lycheespar.routing.hedge import abandon, first_answer
@@ -137,7 +137,7 @@
         again = True
         while again:
             if state is None:
-                state = await self._attempts.choose(call, progress.tried)
+                state = await self._choose(call, progress)
             if state is None:
                 break
             again = await self._try_target(call, state, progress)
@@ -146,6 +146,16 @@
                 state = None
         return progress.result()
 
+    async def _choose(
+        self, call: Call, progress: CallProgress
+    ) -> TargetState | None:
+        """Choose a target; return None if there is none with room."""
+        try:
+            return await self._attempts.choose(call, progress.tried)
+        except OverloadedError as error:
+            progress.record_lack_of_room(error)
+            return None
+
     async def _try_target(
         self,
         call: Call,
--- a/lycheespar/routing/table.py
+++ b/lycheespar/routing/table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import Final
 
 from lycheespar.call import Load
@@ -22,6 +23,13 @@
 # Time in seconds for which a node that did not answer a load query counts as
 # unresponsive.
 UNRESPONSIVE_S: Final = 0.5
+# Reply time in seconds of load queries from which on a target is far away.
+# Within one region, most data centres reply in 5 ms.
+FAR_REPLY_S: Final = 0.006
+# Longest reply time that counts; a paused node may reply after seconds.
+MAX_REPLY_S: Final = 0.05
+# Weight of one reply in the moving average of the reply times.
+REPLY_WEIGHT: Final = 0.2
 # First and longest back-off in seconds of an unavailable target; the back-off
 # doubles each time.
 MIN_BACKOFF_S: Final = 0.5
@@ -85,12 +93,16 @@
         Instant of that report on the event loop's clock, in seconds.
     backoff_until : float
         Instant until which the target is used only if there are no others.
+    reply_s : float
+        Usual time in seconds in which the node replies to load queries; 0
+        before the first reply.
     """
 
     __slots__ = (
         '_average',
         '_backoff_s',
         '_failure_share',
+        '_open_query',
         '_other_calls',
         '_outcome_at',
         '_reports_pace',
@@ -100,6 +112,7 @@
         'load',
         'load_at',
         'record',
+        'reply_s',
     )
 
     def __init__(
@@ -114,6 +127,8 @@
         self.load = Load(limit=max(int(record.slots * share), 1))
         self.load_at = float('-inf')
         self.backoff_until = float('-inf')
+        self.reply_s = 0.0
+        self._open_query: asyncio.Future[Load] | None = None
         self._backoff_s = MIN_BACKOFF_S
         self._average = ServiceAverage() if average is None else average
         self._other_calls = 0
@@ -199,6 +214,20 @@
         """Age in seconds of the latest load report; infinite without one."""
         return asyncio.get_running_loop().time() - self.load_at
 
+    @property
+    def is_far(self) -> bool:
+        """Whether replies of the target's node usually take long."""
+        return self.reply_s > FAR_REPLY_S
+
+    def begin_query(self, query: asyncio.Future[Load], now: float) -> None:
+        """Take the reply to a query, also if nobody waits for it any more.
+
+        Calls that choose at the same time share one query.
+        """
+        if query is not self._open_query:
+            self._open_query = query
+            query.add_done_callback(partial(self._record_reply, now))
+
     def record_unanswered_query(self, now: float) -> None:
         """Record that the node did not answer a load query in time."""
         self._unanswered_at = now
@@ -221,6 +250,19 @@
         trust = decay(now - self.load_at, OUTCOME_HALF_LIFE_S)
         return max(own, self.load.failure_share * trust)
 
+    def _record_reply(
+        self, asked_at: float, query: asyncio.Future[Load]
+    ) -> None:
+        self._open_query = None
+        if query.cancelled() or query.exception() is not None:
+            return
+        now = asyncio.get_running_loop().time()
+        self.update_load(query.result(), now)
+        reply_s = min(now - asked_at, MAX_REPLY_S)
+        if self.reply_s:
+            reply_s = self.reply_s + REPLY_WEIGHT * (reply_s - self.reply_s)
+        self.reply_s = reply_s
+
     def _observed_failure_share(self, now: float) -> float:
         if not self._failure_share:
             return 0
--- a/lycheespar/telemetry/events.py
+++ b/lycheespar/telemetry/events.py
@@ -140,6 +140,26 @@
     again: bool
 
 
+class NoRoom(RequestEvent, frozen=True, tag='no_room'):
+    """A request was refused unsent: it would wait too long at all targets.
+
+    Attributes
+    ----------
+    targets : int
+        Number of targets whose loads were looked at.
+    wait_ms : float
+        Shortest expected wait at these targets, in milliseconds.
+    oldest_ms : float
+        Age of the oldest of their load reports, in milliseconds.
+    """
+
+    part: ClassVar[str] = 'routing'
+
+    targets: int
+    wait_ms: float
+    oldest_ms: float
+
+
 class Hedged(RequestEvent, frozen=True, tag='hedged'):
     """A slow request was also sent to a second target.
 
