Routing: targets whose nodes are silent do not count as ones with room

While all others were full, calls would have gone to targets that had just lost their power. Found in reading; the new test fails without the condition.

--- a/lycheespar/routing/attempts.py
+++ b/lycheespar/routing/attempts.py
@@ -27,6 +27,7 @@
 from lycheespar.routing.room import (
     MAX_SAMPLES,
     MS_PER_S,
+    full_targets,
     lack_of_room,
     targets_with_room,
     wait_s,
@@ -176,7 +177,7 @@
         Raises
         ------
         OverloadedError
-            No target in these samples has room.
+            No target in these samples has room, and some report so.
         """
         loop = asyncio.get_running_loop()
         looked_at: list[TargetState] = []
@@ -189,21 +190,22 @@
             if with_room:
                 return self._cheapest(call, with_room)
             looked_at.extend(sample)
+        now = loop.time()
+        full = full_targets(call, looked_at, now)
+        if not full:
+            return self._cheapest(call, looked_at)
         events.write(
             NoRoom(
                 call.request_id,
-                len(looked_at),
+                len(full),
                 round(
-                    min(wait_s(call, state.load) for state in looked_at)
-                    * MS_PER_S,
+                    min(wait_s(call, state.load) for state in full) * MS_PER_S,
                     1,
                 ),
-                round(
-                    max(state.load_age_s for state in looked_at) * MS_PER_S, 1
-                ),
+                round(max(state.load_age_s for state in full) * MS_PER_S, 1),
             )
         )
-        raise lack_of_room(call, looked_at, loop.time())
+        raise lack_of_room(call, full, now)
 
     async def _refreshed_sample(
         self, states: Sequence[TargetState]
--- a/lycheespar/routing/room.py
+++ b/lycheespar/routing/room.py
@@ -39,13 +39,25 @@
 ) -> list[TargetState]:
     """Return the targets where the call's wait may be of use.
 
-    A target without a fresh report counts as one with room.
+    A target of which nothing is known counts as one with room; one whose node
+    did not answer does not, as it may have failed.
     """
     return [
         state
         for state in states
-        if now - state.load_at > MAX_REPORT_AGE_S
-        or has_room(call, state.load, now)
+        if not state.is_unresponsive(now)
+        and (not _is_fresh(state, now) or has_room(call, state.load, now))
+    ]
+
+
+def full_targets(
+    call: Call, states: Iterable[TargetState], now: float
+) -> list[TargetState]:
+    """Return the targets whose nodes report that they have no room."""
+    return [
+        state
+        for state in states
+        if _is_fresh(state, now) and not has_room(call, state.load, now)
     ]
 
 
@@ -74,15 +86,19 @@
 
 
 def lack_of_room(
-    call: Call, looked_at: Sequence[TargetState], now: float
+    call: Call, full: Sequence[TargetState], now: float
 ) -> OverloadedError:
-    """Return the refusal of a call for which no target has room.
+    """Return the refusal of a call after a look at full targets.
 
     The caller is told to come back when the shortest queue will have ended.
     """
-    shortest_s = min(wait_s(call, state.load) for state in looked_at)
+    shortest_s = min(wait_s(call, state.load) for state in full)
     max_s = (call.deadline - now) * MAX_RETRY_AFTER_SHARE
     retry_after_s = max(min(shortest_s, max_s), MIN_RETRY_AFTER_S)
     return OverloadedError(
         retry_after_s=retry_after_s / random.uniform(1, RETRY_SPREAD)
     )
+
+
+def _is_fresh(state: TargetState, now: float) -> bool:
+    return now - state.load_at <= MAX_REPORT_AGE_S
--- a/lycheespar/telemetry/events.py
+++ b/lycheespar/telemetry/events.py
@@ -146,7 +146,7 @@
     Attributes
     ----------
     targets : int
-        Number of targets whose loads were looked at.
+        Number of targets that report that they are full.
     wait_ms : float
         Shortest expected wait at these targets, in milliseconds.
     oldest_ms : float
--- a/lycheespar/tests/routing/room_tests.py
+++ b/lycheespar/tests/routing/room_tests.py
@@ -75,6 +75,7 @@
         source = random.Random(5)
         self.channels: dict[str, _Channel] = {}
         self.loads: dict[str, Load] = {}
+        self.silent: set[str] = set()
         for index in range(TARGETS):
             record = make_record(index, service=SERVICE, slots=SLOTS)
             members.merge(record)
@@ -114,6 +115,8 @@
         loop = asyncio.get_running_loop()
         reply: asyncio.Future[Load] = loop.create_future()
         load = self.loads.get(record.node)
+        if record.node in self.silent:
+            return reply
         loop.call_later(
             ROUND_TRIP_S,
             reply.set_result,
@@ -180,6 +183,33 @@
     run_virtual(scenario)
 
 
+def test_a_silent_target_does_not_count_as_one_with_room():
+    """After a loss of power, calls would go to targets that are gone."""
+
+    async def scenario(_: VirtualLoop) -> None:
+        service = _Service()
+        service.fill()
+        service.silent = set(tuple(service.channels)[:6])
+        for _ in range(20):
+            with pytest.raises(OverloadedError):
+                await service.router.dispatch(_call())
+        assert not service.attempts
+
+    run_virtual(scenario)
+
+
+def test_calls_are_still_sent_if_no_node_answers():
+    """The node itself may have been paused; its targets may be well."""
+
+    async def scenario(_: VirtualLoop) -> None:
+        service = _Service()
+        service.silent = set(service.channels)
+        await service.router.dispatch(_call())
+        assert service.attempts == 1
+
+    run_virtual(scenario)
+
+
 def test_an_urgent_call_is_sent_where_only_lighter_ones_wait():
     async def scenario(_: VirtualLoop) -> None:
         service = _Service()
