--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -88,7 +88,7 @@
         now = _now()
         has_to_wait = self.rates.named.wait_s(now) > 0
         waits: tuple[tuple[float, float], ...] = ()
-        if self._running >= self.limit:
+        if self._queue.by_cost and self._running >= self.limit:
             waits = self._waits.by_weight(
                 self._expected_wait_s(1, now), self._limits.queue_limit
             )
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -30,9 +30,9 @@
         Current time that work takes on the target's host, as a multiple of
         the usual time; 1 if the target does not report it.
     waits : tuple[tuple[float, float], ...]
-        While the target is full: for weight 0 and each weight of recent
-        requests, the lightest first, the weight and the expected wait in
-        milliseconds of a new request of this weight.
+        While the target is full and refusals go by cost: for weight 0 and each
+        weight of recent requests, the lightest first, the weight and the
+        expected wait in milliseconds of a new request of this weight.
     """
 
     running: int = 0
--- a/lycheespar/tests/admission/waits_tests.py
+++ b/lycheespar/tests/admission/waits_tests.py
@@ -27,11 +27,13 @@
 class _Target:
     """A target behind the gate of its node."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, by_cost: bool = True) -> None:
         self.limiter = Limiter()
         self.gate = Gate(self.limiter)
         self.gate.configure(
-            GateLimits(SLOTS, queue_limit=QUEUE_LIMIT, queue_s=5, by_cost=True)
+            GateLimits(
+                SLOTS, queue_limit=QUEUE_LIMIT, queue_s=5, by_cost=by_cost
+            )
         )
 
     async def press(self, *weights: float) -> None:
@@ -70,6 +72,20 @@
     run_virtual(scenario)
 
 
+def test_a_target_that_refuses_by_deadline_reports_no_waits():
+    """Services that do not ask for refusals by cost are served as before."""
+
+    async def scenario(_: VirtualLoop) -> None:
+        target = _Target(by_cost=False)
+        pressing = asyncio.create_task(target.press(HEAVY, LIGHT))
+        await asyncio.sleep(0.7)
+        assert target.gate.load.queued
+        assert target.gate.load.waits == ()
+        await pressing
+
+    run_virtual(scenario)
+
+
 def test_a_target_with_a_free_slot_reports_no_wait():
     async def scenario(_: VirtualLoop) -> None:
         target = _Target()
