Ingress: nodes begin the sequence of weighted parts at random points

All nodes began it at the same point after a start or a change of weights: of three requests at each of 78 nodes, a part of 10% got a third, a part of 20% too.

--- a/lycheespar/ingress/call_builder.py
+++ b/lycheespar/ingress/call_builder.py
@@ -119,7 +119,7 @@
         self._profile = profile
         self._own_service = own_service
         self._keys = TeamKeys(configuration, profile)
-        self._split = WeightedSplit()
+        self._split = WeightedSplit(random.Random())
 
     @property
     def configuration(self) -> ConfigurationView:
--- a/lycheespar/tests/ingress/split_tests.py
+++ b/lycheespar/tests/ingress/split_tests.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 
+import pytest
 from msgspec.structs import replace
 
 from lycheespar.configuration.routes import Destination, HostRoute
@@ -16,9 +18,33 @@
     destinations=(Destination('a', 90), Destination('b', 10)),
 )
 
+# Tolerated difference of a part's share from that of its weight.
+MAX_SHARE_ERROR = 0.1
+NODES = 78
+
+
+def _split(seed: int = 1) -> WeightedSplit:
+    return WeightedSplit(random.Random(seed))
+
+
+@pytest.mark.parametrize('weight', [10, 20, 30, 40])
+def test_shares_hold_over_many_nodes_that_get_few_requests_each(weight):
+    """With equal phases, all nodes sent their third requests to one part."""
+    route = replace(
+        ROUTE,
+        destinations=(Destination('a', 100 - weight), Destination('b', weight)),
+    )
+    splits = [_split(seed) for seed in range(NODES)]
+    for changed in (ROUTE, route):
+        counts = Counter(
+            split.choose_service(changed) for split in splits for _ in range(3)
+        )
+    share = counts['b'] / counts.total()
+    assert abs(share - weight / 100) <= MAX_SHARE_ERROR
+
 
 def test_shares_hold_in_any_window():
-    split = WeightedSplit()
+    split = _split()
     chosen = [split.choose_service(ROUTE) for _ in range(500)]
     for start in range(0, 400, 7):
         counts = Counter(chosen[start : start + 100])
@@ -30,17 +56,17 @@
         ROUTE,
         destinations=(Destination('a', 0), Destination('b', 3)),
     )
-    split = WeightedSplit()
+    split = _split()
     assert {split.choose_service(route) for _ in range(50)} == {'b'}
 
 
 def test_no_service_is_chosen_if_all_weights_are_zero():
     route = replace(ROUTE, destinations=(Destination('a', 0),))
-    assert not WeightedSplit().choose_service(route)
+    assert not _split().choose_service(route)
 
 
 def test_changed_weights_apply_at_once():
-    split = WeightedSplit()
+    split = _split()
     for _ in range(55):
         split.choose_service(ROUTE)
     changed = replace(
