--- a/lycheespar/admission/gate.py
+++ b/lycheespar/admission/gate.py
@@ -99,6 +99,9 @@
             self._occupancy.mean_s * MS_PER_S,
             self._limiter.failure_share,
             waits=waits,
+            deviation_ms=(
+                self._occupancy.deviation_s(now) * MS_PER_S if waits else 0
+            ),
         )
 
     @property
@@ -151,14 +154,21 @@
         self._check_deadline(call, now, wait_s)
         # A call that is admitted before lighter ones may wait for most of its
         # remaining time; any other call waits for at most `queue_s`.
-        max_wait_s = (
-            call.deadline - now - recent_latency_s
-            if self._admitted_weights.has_lighter(call.weight)
-            else min(
+        if self._admitted_weights.has_lighter(call.weight):
+            max_wait_s = call.deadline - now - recent_latency_s
+        else:
+            deviation_s = self._limiter.latency_deviation_s(
+                call.request_class, now
+            )
+            max_wait_s = min(
                 self._limits.queue_s,
-                max_useful_wait_s(call, now, recent_latency_s),
+                max_useful_wait_s(
+                    call,
+                    now,
+                    recent_latency_s,
+                    deviation_s if self._queue.by_cost else 0,
+                ),
             )
-        )
         if wait_s > max_wait_s:
             raise self._overload_error()
         self._make_room(call, recent_latency_s, now)
--- a/lycheespar/admission/latency.py
+++ b/lycheespar/admission/latency.py
@@ -67,6 +67,10 @@
         """Return the expected latency in seconds, decayed by its age."""
         return self._mean_s * self._decay(now)
 
+    def deviation_s(self, now: float) -> float:
+        """Return the deviation from the mean in seconds, decayed by its age."""
+        return self._deviation_s * self._decay(now)
+
     def min_latency_s(self, now: float) -> float:
         """Return a low latency in seconds that most calls exceed."""
         min_latency_s = max(0.0, self._mean_s - self._deviation_s)
--- a/lycheespar/admission/limiter.py
+++ b/lycheespar/admission/limiter.py
@@ -97,6 +97,10 @@
         """Return the recent latency of a class in seconds."""
         return self._latencies.for_class(request_class).expected_s(now)
 
+    def latency_deviation_s(self, request_class: str, now: float) -> float:
+        """Return how far latencies of a class deviate from their mean."""
+        return self._latencies.for_class(request_class).deviation_s(now)
+
     def configure(self, limits: GateLimits) -> None:
         """Change the limits."""
         self._slots = limits.slots
--- a/lycheespar/call.py
+++ b/lycheespar/call.py
@@ -33,6 +33,9 @@
         While the target is full and refusals go by cost: for weight 0 and each
         weight of recent requests, the lightest first, the weight and the
         expected wait in milliseconds of a new request of this weight.
+    deviation_ms : float
+        Beside `waits`: deviation of recent latencies from their mean, in
+        milliseconds.
     """
 
     running: int = 0
@@ -42,6 +45,7 @@
     failure_share: float = 0
     pace: float = 1
     waits: tuple[tuple[float, float], ...] = ()
+    deviation_ms: float = 0
 
 
 class Call(msgspec.Struct, gc=False):
--- a/lycheespar/routing/room.py
+++ b/lycheespar/routing/room.py
@@ -74,7 +74,9 @@
     max_wait_s = (
         call.deadline - now - latency_s
         if precedes_others
-        else max_useful_wait_s(call, now, latency_s)
+        else max_useful_wait_s(
+            call, now, latency_s, load.deviation_ms / MS_PER_S
+        )
     )
     return wait_s(call, load) <= max_wait_s
 
--- a/lycheespar/tests/routing/room_tests.py
+++ b/lycheespar/tests/routing/room_tests.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import pytest
 from msgspec.structs import replace
 
+from lycheespar.admission import useful_wait
 from lycheespar.admission.gate import Gate
 from lycheespar.admission.limiter import GateLimits, Limiter
 from lycheespar.call import Answer, Call, Load
@@ -38,10 +40,35 @@
 FREE = Load(2, 0, 6, 200)
 
 
+def _steady_s(source: random.Random) -> float:
+    """Return how long a call runs on a host with steady load."""
+    return WORK_S * source.uniform(0.5, 1.5)
+
+
+def _noisy_s(source: random.Random) -> float:
+    """Return how long a call runs on a host that is slow a quarter of the time.
+
+    It works five times more slowly then, for 150 ms at a time. Three calls in a
+    hundred need seven times the usual work.
+    """
+    work_s = _steady_s(source) * (7 if source.random() < 0.03 else 1)
+    run_s = 0.0
+    while work_s > 0:
+        pace = 5 if source.random() < 0.25 else 1
+        step_s = min(0.15, work_s * pace)
+        work_s -= step_s / pace
+        run_s += step_s
+    return run_s
+
+
 class _Channel:
     """Runs calls at one target, behind the gate of its node."""
 
-    def __init__(self, source: random.Random) -> None:
+    def __init__(
+        self,
+        source: random.Random,
+        run_s: Callable[[random.Random], float],
+    ) -> None:
         self.limiter = Limiter()
         self.gate = Gate(self.limiter)
         self.gate.configure(
@@ -49,13 +76,14 @@
         )
         self.attempts = 0
         self._source = source
+        self._run_s = run_s
 
     async def execute(self, call: Call) -> Answer:
         """Run a call."""
         await asyncio.sleep(ROUND_TRIP_S)
         self.attempts += 1
         await self.gate.acquire(call)
-        work_s = WORK_S * self._source.uniform(0.5, 1.5)
+        work_s = self._run_s(self._source)
         loop = asyncio.get_running_loop()
         try:
             await asyncio.sleep(work_s)
@@ -70,7 +98,12 @@
 class _Service:
     """Targets of one service and the router of a caller's node."""
 
-    def __init__(self, *, by_cost: bool = True) -> None:
+    def __init__(
+        self,
+        *,
+        by_cost: bool = True,
+        run_s: Callable[[random.Random], float] = _steady_s,
+    ) -> None:
         members = MembershipView()
         source = random.Random(5)
         self.channels: dict[str, _Channel] = {}
@@ -79,7 +112,7 @@
         for index in range(TARGETS):
             record = make_record(index, service=SERVICE, slots=SLOTS)
             members.merge(record)
-            self.channels[record.node] = _Channel(source)
+            self.channels[record.node] = _Channel(source, run_s)
         teams = {'team': TeamProfile('team', ('key',))} if by_cost else {}
         plan = RoutePlan(
             1, services={SERVICE: ServiceProfile(SERVICE)}, teams=teams
@@ -270,8 +303,12 @@
 class _Play:
     """Callers who send more than the targets can do."""
 
-    def __init__(self, load: float) -> None:
-        self.service = _Service()
+    def __init__(
+        self,
+        load: float,
+        run_s: Callable[[random.Random], float] = _steady_s,
+    ) -> None:
+        self.service = _Service(run_s=run_s)
         self.in_time = self.refused = self.sent = 0
         self._load = load
         self._random = random.Random(9)
@@ -326,3 +363,23 @@
         attempts_module, 'targets_with_room', lambda _, states, __: list(states)
     )
     assert with_look < 0.7 * run_virtual(attempts_in_play)
+
+
+@pytest.mark.parametrize('load', [1.1, 2, 4])
+def test_calls_leave_time_for_runs_on_noisy_hosts(monkeypatch, load):
+    """With waits up to the mean run time, more calls are late than in time."""
+
+    async def play(_: VirtualLoop) -> _Play:
+        played = _Play(load, _noisy_s)
+        await played.run(10)
+        return played
+
+    with_time_left = run_virtual(play)
+    monkeypatch.setattr(useful_wait, 'MIN_SLACK_SHARE', 1)
+    without = run_virtual(play)
+    assert with_time_left.in_time > without.in_time
+    assert _late(with_time_left) < _late(without)
+
+
+def _late(play: _Play) -> int:
+    return play.sent - play.refused - play.in_time
