--- a/lycheespar/tests/quotas/fleet.py
+++ b/lycheespar/tests/quotas/fleet.py
@@ -18,7 +18,7 @@
     OverQuotaError,
     QuotaUnavailableError,
 )
-from lycheespar.membership.records import Liveness, MemberRecord
+from lycheespar.membership.records import Liveness, MemberRecord, Phase
 from lycheespar.membership.view import MembershipView
 from lycheespar.quotas.bucket import TokenBucket
 from lycheespar.quotas.dispatch import QuotaDispatch
@@ -196,6 +196,17 @@
         if known:
             self.declare_dead(node)
 
+    def drain(self, name: str) -> None:
+        """Let all nodes know that a node is about to stop."""
+        node = self.nodes[name]
+        node.record = replace(
+            node.record,
+            version=node.record.version + 1,
+            phase=Phase.draining,
+        )
+        for other in self.nodes.values():
+            other.members.merge(node.record)
+
     def declare_dead(self, *gone: Node, by: list[Node] | None = None) -> None:
         """Tell nodes, or all of them, that other nodes are dead."""
         for node in by or list(self.nodes.values()):
--- a/lycheespar/tests/quotas/quotas_tests.py
+++ b/lycheespar/tests/quotas/quotas_tests.py
@@ -123,6 +123,34 @@
     _check_limits(fleet, BIG)
 
 
+async def test_an_owner_that_wakes_with_old_beliefs_keeps_the_limit():
+    """It was paused meanwhile, and another node owns the quota."""
+    fleet = Fleet(NODES, [BIG])
+    fleet.set_rate('big', 7 * BIG.calls_per_s)
+    await fleet.run(5)
+    paused = fleet.nodes[fleet.owner('big')]
+    others = [node for node in fleet.nodes.values() if node is not paused]
+    paused.alive = False
+    fleet.declare_dead(paused, by=others)
+    await fleet.run(5)
+    paused.alive = True
+    assert paused.ring.owner('big').node == paused.name
+    assert others[0].ring.owner('big').node != paused.name
+    await fleet.run(5)
+    _check_limits(fleet, BIG)
+
+
+async def test_an_owner_that_leaves_in_planned_order_refuses_few_calls():
+    fleet = Fleet(NODES, [BIG])
+    fleet.set_rate('big', 0.8 * BIG.calls_per_s)
+    for _ in range(3):
+        await fleet.run(6)
+        fleet.drain(fleet.owner('big'))
+    await fleet.run(6)
+    _check_limits(fleet, BIG)
+    assert fleet.refused['big'] <= 0.02 * fleet.asked['big']
+
+
 async def test_two_zones_that_lose_each_other_keep_the_limit_together():
     fleet = Fleet(NODES, [BIG])
     fleet.set_rate('big', 7 * BIG.calls_per_s)
