Tests: the fleet of the quotas in the project's words, a fleet with a hot team once

The tests said zone, the platform's word, for data centre, and built the same fleet six times. Checks and bounds are as before. One comment is reworded.

--- a/lycheespar/quotas/dispatch.py
+++ b/lycheespar/quotas/dispatch.py
@@ -33,9 +33,9 @@
     TeamPreferred,
 )
 
-# Longest wait in seconds for the owner's word. A reply takes milliseconds; the
-# rest is for opening a channel to a busy node: within 50 ms, 3 in 100 calls got
-# no reply.
+# Longest wait in seconds for the owner's reply. It takes milliseconds; the rest
+# is for opening a channel to a busy node: within 50 ms, 3 in 100 calls got no
+# reply.
 ASK_TIMEOUT_S: Final = 0.25
 # Time in seconds for which an owner that gave no answer is not asked again.
 PAUSE_S: Final = 0.5
--- a/lycheespar/tests/quotas/fleet.py
+++ b/lycheespar/tests/quotas/fleet.py
@@ -51,7 +51,7 @@
 
     def __init__(self, fleet: Fleet, index: int) -> None:
         self.name = f'node-{index}'
-        self.zone = index % fleet.zones
+        self.centre = index % fleet.centres
         self.alive = True
         self.silent = False
         self.full = False
@@ -66,7 +66,7 @@
         self._incarnation += 1
         self.alive = True
         self.record = MemberRecord(
-            self.name, self._incarnation, 0, 'h', 1, 2, str(self.zone)
+            self.name, self._incarnation, 0, 'h', 1, 2, str(self.centre)
         )
         self.members = MembershipView()
         for other in self._fleet.nodes.values():
@@ -116,14 +116,14 @@
 
 
 class Fleet:
-    """Nodes in several zones."""
+    """Nodes in several data centres."""
 
     def __init__(
-        self, nodes: int, teams: list[TeamProfile], zones: int = 4
+        self, nodes: int, teams: list[TeamProfile], centres: int = 4
     ) -> None:
         self.clock = Clock()
-        self.zones = zones
-        self.cut_zones: set[frozenset[int]] = set()
+        self.centres = centres
+        self.cut_centres: set[frozenset[int]] = set()
         self.nodes: dict[str, Node] = {}
         self.ran: dict[str, list[float]] = defaultdict(list)
         self.asked: dict[str, int] = defaultdict(int)
@@ -179,8 +179,8 @@
 
     def is_connected(self, node: Node, other: Node) -> bool:
         """Whether a node gets an answer of another one."""
-        pair = frozenset((node.zone, other.zone))
-        is_cut = pair in self.cut_zones and len(pair) > 1
+        pair = frozenset((node.centre, other.centre))
+        is_cut = pair in self.cut_centres and len(pair) > 1
         return other.alive and not other.silent and not is_cut
 
     def restart(self, name: str) -> None:
--- a/lycheespar/tests/quotas/quotas_tests.py
+++ b/lycheespar/tests/quotas/quotas_tests.py
@@ -43,6 +43,13 @@
     return teams, rates
 
 
+def _hot_fleet() -> Fleet:
+    """Return a fleet to which one team sends seven times its limit."""
+    fleet = Fleet(NODES, [BIG])
+    fleet.set_rate('big', 7 * BIG.calls_per_s)
+    return fleet
+
+
 def _check_limits(fleet: Fleet, *teams: TeamProfile) -> None:
     for team in teams:
         assert fleet.most_in_window(team.name) <= allowed(team), team.name
@@ -91,8 +98,7 @@
 
 
 async def test_an_owner_that_ends_is_replaced_and_the_limit_holds():
-    fleet = Fleet(NODES, [BIG])
-    fleet.set_rate('big', 7 * BIG.calls_per_s)
+    fleet = _hot_fleet()
     for _ in range(3):
         await fleet.run(5)
         fleet.kill(fleet.owner('big'))
@@ -102,8 +108,7 @@
 
 
 async def test_an_owner_that_restarts_grants_no_second_burst():
-    fleet = Fleet(NODES, [BIG])
-    fleet.set_rate('big', 7 * BIG.calls_per_s)
+    fleet = _hot_fleet()
     for _ in range(4):
         await fleet.run(2.5)
         fleet.restart(fleet.owner('big'))
@@ -113,8 +118,7 @@
 
 async def test_a_silent_owner_leaves_the_reserves_of_the_nodes():
     """It is not known as dead yet, so that no other node owns the quota."""
-    fleet = Fleet(NODES, [BIG])
-    fleet.set_rate('big', 7 * BIG.calls_per_s)
+    fleet = _hot_fleet()
     await fleet.run(5)
     fleet.nodes[fleet.owner('big')].silent = True
     await fleet.run(6)
@@ -125,8 +129,7 @@
 
 async def test_an_owner_that_wakes_with_old_beliefs_keeps_the_limit():
     """It was paused meanwhile, and another node owns the quota."""
-    fleet = Fleet(NODES, [BIG])
-    fleet.set_rate('big', 7 * BIG.calls_per_s)
+    fleet = _hot_fleet()
     await fleet.run(5)
     paused = fleet.nodes[fleet.owner('big')]
     others = [node for node in fleet.nodes.values() if node is not paused]
@@ -151,26 +154,24 @@
     assert fleet.refused['big'] <= 0.02 * fleet.asked['big']
 
 
-async def test_two_zones_that_lose_each_other_keep_the_limit_together():
-    fleet = Fleet(NODES, [BIG])
-    fleet.set_rate('big', 7 * BIG.calls_per_s)
+async def test_two_data_centres_that_lose_each_other_keep_the_limit_together():
+    fleet = _hot_fleet()
     await fleet.run(5)
-    owner_zone = fleet.nodes[fleet.owner('big')].zone
-    fleet.cut_zones = {frozenset((owner_zone, (owner_zone + 1) % 4))}
+    owner_centre = fleet.nodes[fleet.owner('big')].centre
+    fleet.cut_centres = {frozenset((owner_centre, (owner_centre + 1) % 4))}
     await fleet.run(8)
-    fleet.cut_zones = set()
+    fleet.cut_centres = set()
     await fleet.run(5)
     _check_limits(fleet, BIG)
 
 
-async def test_a_zone_that_is_cut_off_owns_no_quota():
-    fleet = Fleet(NODES, [BIG])
-    fleet.set_rate('big', 7 * BIG.calls_per_s)
+async def test_a_data_centre_that_is_cut_off_owns_no_quota():
+    fleet = _hot_fleet()
     await fleet.run(5)
-    zone = 1
-    inside = [node for node in fleet.nodes.values() if node.zone == zone]
-    outside = [node for node in fleet.nodes.values() if node.zone != zone]
-    fleet.cut_zones = {frozenset((zone, other)) for other in range(4)}
+    centre = 1
+    inside = [node for node in fleet.nodes.values() if node.centre == centre]
+    outside = [node for node in fleet.nodes.values() if node.centre != centre]
+    fleet.cut_centres = {frozenset((centre, other)) for other in range(4)}
     fleet.declare_dead(*outside, by=inside)
     fleet.declare_dead(*inside, by=outside)
     assert all(node.ring.owner('big') is None for node in inside)
