Telemetry: failed pulls, time without control hosts, tasks that end by themselves

Events pull_failed, pull_recovered and task_failed, and the gauge configuration.silence_s. No change of behaviour.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -59,6 +59,7 @@
 from lycheespar.targets.announcement import LocalTarget
 from lycheespar.targets.probes import Prober
 from lycheespar.telemetry.gauges import (
+    follower_gauges,
     node_gauges,
     retry_and_gossip_gauges,
 )
@@ -225,6 +226,7 @@
             lambda: directory.links,
             self._saved_configuration,
         )
+        self._telemetry.add_gauges(partial(follower_gauges, follower))
         follower.start()
         self._rollouts.start_reporting(lambda: directory.links)
         await self._start()
--- a/lycheespar/control/following/configuration_follower.py
+++ b/lycheespar/control/following/configuration_follower.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from lycheespar.background import start_background
 from lycheespar.configuration.changes import Change, apply
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.stamp import MS_PER_S
@@ -25,6 +26,8 @@
     PullReply,
 )
 from lycheespar.errors import ChangeInvalidError
+from lycheespar.settings.options import Address
+from lycheespar.telemetry.control_events import PullFailed, PullRecovered
 from lycheespar.telemetry.event_log import events
 from lycheespar.telemetry.events import ConfigurationApplied
 
@@ -42,12 +45,23 @@
 # Seconds that a running pull gets to deliver a change after a freshness stamp
 # has named its revision.
 CHANGE_GRACE_S: Final = 0.3
+# Reasons of failed pulls that are no error codes.
+_ABANDONED: Final = 'abandoned'
+_UNEXPECTED: Final = 'unexpected_reply'
 
 log = logger.bind(part='control')
 
 
 class NodeLink(Protocol):
-    """Link from a node to one control host."""
+    """Link from a node to one control host.
+
+    Attributes
+    ----------
+    address : Address
+        Address of the control host.
+    """
+
+    address: Address
 
     async def ask(
         self,
@@ -82,11 +96,13 @@
     """
 
     __slots__ = (
+        '_failures',
         '_links',
         '_newer_revision_known',
         '_node',
         '_pause_s',
         '_random',
+        '_replied_at',
         '_saved',
         '_tasks',
         '_view',
@@ -109,6 +125,8 @@
         self._wait_s: float = MIN_WAIT_S
         self._pause_s: float = MIN_PAUSE_S
         self._newer_revision_known = asyncio.Event()
+        self._failures = 0
+        self._replied_at = view.now()
         self._tasks: tuple[asyncio.Task[None], ...] = ()
 
     @property
@@ -116,14 +134,19 @@
         """Present long-poll time in seconds."""
         return self._wait_s
 
+    @property
+    def silence_s(self) -> float:
+        """Seconds since a control host last answered a pull."""
+        return self._view.now() - self._replied_at
+
     def start(self) -> None:
         """Start the tasks that pull and save the configuration."""
         self._view.newer_stamps.subscribe(
             lambda _: self._newer_revision_known.set()
         )
         self._tasks = (
-            asyncio.create_task(self._run()),
-            asyncio.create_task(self._save_changes()),
+            start_background('configuration pulls', self._run),
+            start_background('saved configuration', self._save_changes),
         )
 
     def stop(self) -> None:
@@ -157,7 +180,8 @@
         request = Pull(self._node, view.current.revision, wait_s)
         began_at = view.now()
         reply = await self._await_reply(link, request)
-        if reply is None:
+        if not isinstance(reply, PullReply):
+            self._report_failure(link, reply)
             self._wait_s = MIN_WAIT_S
             return False
         self._adapt_wait()
@@ -165,14 +189,15 @@
         elapsed_s = view.now() - began_at
         held_s = min(max(reply.held_ms / MS_PER_S, 0), elapsed_s)
         view.accept_stamp(reply.stamp.with_added_age(elapsed_s - held_s))
+        self._report_reply(link)
         return applied and not self._is_urgent()
 
     async def _await_reply(
         self,
         link: NodeLink,
         request: Pull,
-    ) -> PullReply | None:
-        """Return the reply; None if it failed or the wait became urgent."""
+    ) -> PullReply | str:
+        """Return the reply, or the reason why there is none."""
         pull = asyncio.create_task(
             link.ask(request, request.wait_s + REPLY_MARGIN_S),
         )
@@ -184,15 +209,42 @@
         urgent.cancel()
         if not pull.done():
             pull.cancel()
-            return None
+            return _ABANDONED
         try:
             reply = pull.result()
-        except LinkTimeoutError:
-            return None
-        if isinstance(reply, Failure):
-            log.debug("A control host rejected a pull: '{}'.", reply.code)
-            return None
-        return reply if isinstance(reply, PullReply) else None
+        except LinkTimeoutError as error:
+            return error.code
+        match reply:
+            case PullReply():
+                return reply
+            case Failure(code):
+                return code
+            case _:
+                return _UNEXPECTED
+
+    def _report_failure(self, link: NodeLink, reason: str) -> None:
+        self._failures += 1
+        events.write(
+            PullFailed(
+                str(link.address),
+                reason,
+                self._view.current.revision,
+                round(self._view.age_s, 3),
+                self._failures,
+            ),
+        )
+
+    def _report_reply(self, link: NodeLink) -> None:
+        self._replied_at = self._view.now()
+        if self._failures:
+            events.write(
+                PullRecovered(
+                    str(link.address),
+                    self._failures,
+                    self._view.current.revision,
+                ),
+            )
+        self._failures = 0
 
     async def _wait_until_urgent(self, wait_s: float) -> None:
         """Return when the running pull should be abandoned.
--- a/lycheespar/control/link.py
+++ b/lycheespar/control/link.py
@@ -64,6 +64,11 @@
         Address of the control host.
     reply_type : Any
         Type, or union of types, of the replies.
+
+    Attributes
+    ----------
+    address : Address
+        Address of the control host.
     """
 
     def __init__(
@@ -73,6 +78,7 @@
         reply_type: Any,
     ) -> None:
         """Start connecting in the background and reading replies."""
+        self.address = address
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder: msgspec.msgpack.Decoder[ReplyType] = (
             msgspec.msgpack.Decoder(reply_type)
--- a/lycheespar/telemetry/gauges.py
+++ b/lycheespar/telemetry/gauges.py
@@ -14,6 +14,9 @@
 
 if TYPE_CHECKING:
     from lycheespar.control.agreement.group import Group
+    from lycheespar.control.following.configuration_follower import (
+        ConfigurationFollower,
+    )
     from lycheespar.membership.endpoint import Endpoint
     from lycheespar.routing.budget import RetryBudgets
 
@@ -52,6 +55,11 @@
     }
 
 
+def follower_gauges(follower: ConfigurationFollower) -> dict[str, float]:
+    """Return the gauges of a node's contact with the control hosts."""
+    return {'configuration.silence_s': follower.silence_s}
+
+
 def node_gauges(
     executor: Executor,
     prober: Prober,
--- a/lycheespar/tests/control/following/configuration_follower_tests.py
+++ b/lycheespar/tests/control/following/configuration_follower_tests.py
@@ -16,6 +16,7 @@
 from lycheespar.control.following.saved import SavedConfiguration
 from lycheespar.control.link import LinkTimeoutError
 from lycheespar.control.messages import Failure, PullReply
+from lycheespar.settings.options import Address
 from lycheespar.tests.virtual_loop import VirtualLoop, run_virtual, until
 
 POLL_S = 0.01
@@ -36,6 +37,7 @@
     """Simulated control host that can be isolated, silent or refusing."""
 
     def __init__(self, group: SimulatedGroup) -> None:
+        self.address = Address('127.0.0.1', 7000)
         self._loop = asyncio.get_running_loop()
         self._group = group
         self.isolated_at: float | None = None
--- a/tools/events_page.py
+++ b/tools/events_page.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lycheespar.telemetry import (
+    control_events,
     crash_events,
     events,
     quota_events,
@@ -19,7 +20,13 @@
 PAGE: Final = Path(__file__).parents[1] / 'docs' / 'user' / 'events.md'
 _MODULES: Final = frozenset(
     module.__name__
-    for module in (events, crash_events, quota_events, rollout_events)
+    for module in (
+        events,
+        control_events,
+        crash_events,
+        quota_events,
+        rollout_events,
+    )
 )
 
 _INTRODUCTION: Final = """# Events in the logs
