--- a/lycheespar/tests/control/following/closed_links_tests.py
+++ b/lycheespar/tests/control/following/closed_links_tests.py
@@ -103,3 +103,6 @@
     async with _running_setup() as setup:
         setup.links[0].close()
         await setup.asked.wait()
+        setup.asked.clear()
+        async with asyncio.timeout(LIMIT_S):
+            await setup.asked.wait()
