Control: requests over a closed link fail with an error of their own

Callers saw requests handled by a version of the route plan that was older by seconds or minutes: the node followed no change any more. Cause: gossip closes the link to a control host that it declares dead. ZeroMQ cancels the send of a request that waits for its connection then, and raises its own error for a request that is sent later; neither was the time-out that the follower expects, and its task ended, the first time without any line.

ControlLink.ask raises LinkClosedError in both cases, and at once also for a request that waits for its reply. A leader does not ask over a closed link again, as it would never yield.

--- a/lycheespar/background.py
+++ b/lycheespar/background.py
@@ -33,15 +33,18 @@
     try:
         await body()
     except asyncio.CancelledError as error:
-        if _is_cancelled_by_owner():
+        if is_cancelled_by_owner():
             raise
         _report(name, error)
     except Exception as error:
         _report(name, error)
 
 
-def _is_cancelled_by_owner() -> bool:
-    """Whether the present task was cancelled, not something it waited for."""
+def is_cancelled_by_owner() -> bool:
+    """Whether the present task was cancelled.
+
+    Otherwise, a cancelled future that it waited for has raised the error.
+    """
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
 
--- a/lycheespar/control/agreement/group.py
+++ b/lycheespar/control/agreement/group.py
@@ -39,7 +39,7 @@
 from lycheespar.control.agreement.replica import Replica
 from lycheespar.control.agreement.roster import Roster
 from lycheespar.control.agreement.vote_handler import VoteHandler
-from lycheespar.control.link import LinkTimeoutError
+from lycheespar.control.link import LinkError
 from lycheespar.control.messages import Failure
 from lycheespar.control.state.state import GroupState, revision_of
 from lycheespar.errors import (
@@ -298,7 +298,7 @@
                 full_leaders += 1
                 if full_leaders == MAX_FULL_LEADERS:
                     raise
-            except (NotLeaderError, LinkTimeoutError) as error:
+            except (NotLeaderError, LinkError) as error:
                 log.debug('Retrying a request to the leader: {}.', error.detail)
             await asyncio.sleep(self._timing.heartbeat_s)
 
--- a/lycheespar/control/agreement/leadership.py
+++ b/lycheespar/control/agreement/leadership.py
@@ -26,7 +26,7 @@
 from lycheespar.control.agreement.replica import Replica, Role
 from lycheespar.control.agreement.roster import Roster
 from lycheespar.control.agreement.voter_manager import VoterManager
-from lycheespar.control.link import LinkTimeoutError
+from lycheespar.control.link import LinkClosedError, LinkTimeoutError
 from lycheespar.control.state.entries import (
     BeginTerm,
     Content,
@@ -275,6 +275,8 @@
                 )
             except LinkTimeoutError:
                 continue
+            except LinkClosedError:
+                return
             progressed = self.leading and self._handle_reply(
                 follower, reply, sent_at
             )
--- a/lycheespar/control/agreement/peers.py
+++ b/lycheespar/control/agreement/peers.py
@@ -10,7 +10,7 @@
 import zmq.asyncio
 
 from lycheespar.control.agreement.peer_messages import PeerReply, PeerRequest
-from lycheespar.control.link import ControlLink, LinkTimeoutError
+from lycheespar.control.link import ControlLink, LinkError
 from lycheespar.settings.options import Address, parse_address
 
 
@@ -56,7 +56,7 @@
 
         Raises
         ------
-        LinkTimeoutError
+        LinkError
             No reply came in time; the request may still be executed.
         """
 
@@ -141,5 +141,5 @@
 ) -> tuple[str, PeerReply] | None:
     try:
         return host, await peers.ask(host, request, timeout_s)
-    except LinkTimeoutError:
+    except LinkError:
         return None
--- a/lycheespar/control/agreement/relay.py
+++ b/lycheespar/control/agreement/relay.py
@@ -11,7 +11,7 @@
 from lycheespar.control.agreement.peers import Peers, Timing
 from lycheespar.control.agreement.quorum import NEVER
 from lycheespar.control.agreement.replica import Replica
-from lycheespar.control.link import LinkTimeoutError
+from lycheespar.control.link import LinkError
 
 MS_PER_S = 1000
 
@@ -72,7 +72,7 @@
                 AskStamp(),
                 self._timing.reply_timeout_s,
             )
-        except LinkTimeoutError:
+        except LinkError:
             return
         match reply:
             case StampReply(stamp):
--- a/lycheespar/control/claims/claims_quorum.py
+++ b/lycheespar/control/claims/claims_quorum.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from lycheespar.control.link import LinkTimeoutError
+from lycheespar.control.link import LinkError
 from lycheespar.control.messages import (
     Claim,
     ClaimReply,
@@ -130,7 +130,7 @@
 ) -> Claim | None:
     try:
         reply = await link.ask(claim, timeout_s)
-    except LinkTimeoutError:
+    except LinkError:
         return None
     return reply.claim if isinstance(reply, ClaimReply) else None
 
@@ -142,5 +142,5 @@
 ) -> None:
     try:
         await link.ask(message, timeout_s)
-    except LinkTimeoutError:
+    except LinkError:
         return
--- a/lycheespar/control/following/configuration_follower.py
+++ b/lycheespar/control/following/configuration_follower.py
@@ -17,7 +17,7 @@
 from lycheespar.configuration.stamp import MS_PER_S
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.control.following.saved import SavedConfiguration
-from lycheespar.control.link import LinkTimeoutError
+from lycheespar.control.link import LinkError
 from lycheespar.control.messages import (
     ControlReply,
     ControlRequest,
@@ -212,7 +212,7 @@
             return _ABANDONED
         try:
             reply = pull.result()
-        except LinkTimeoutError as error:
+        except LinkError as error:
             return error.code
         match reply:
             case PullReply():
--- a/lycheespar/control/link.py
+++ b/lycheespar/control/link.py
@@ -15,6 +15,7 @@
 import zmq.asyncio
 from loguru import logger
 
+from lycheespar.background import is_cancelled_by_owner
 from lycheespar.errors import LycheesparError
 from lycheespar.settings.options import Address
 
@@ -34,12 +35,24 @@
 log = logger.bind(part='control')
 
 
-class LinkTimeoutError(LycheesparError):
+class LinkError(LycheesparError):
+    """No reply came over a link; the request may still be executed."""
+
+    code = 'link_error'
+
+
+class LinkTimeoutError(LinkError):
     """The control host did not reply in time."""
 
     code = 'link_timeout'
 
 
+class LinkClosedError(LinkError):
+    """The link was closed before the reply came."""
+
+    code = 'link_closed'
+
+
 def _configure_socket(socket: zmq.asyncio.Socket) -> None:
     """Detect dead connections by heartbeats; never block on close.
 
@@ -106,9 +119,12 @@
 
         Raises
         ------
-        LinkTimeoutError
-            No reply came in time; the request may still be executed.
+        LinkError
+            No reply came in time, or the link was closed; the request may
+            still be executed.
         """
+        if self._socket.closed:
+            raise LinkClosedError
         serial = next(self._serial).to_bytes(_SERIAL_BYTES)
         reply: asyncio.Future[ReplyType] = (
             asyncio.get_running_loop().create_future()
@@ -122,13 +138,20 @@
                 return await reply
         except TimeoutError as error:
             raise LinkTimeoutError from error
+        except asyncio.CancelledError as error:
+            if self._socket.closed and not is_cancelled_by_owner():
+                raise LinkClosedError from error
+            raise
         finally:
             self._pending.pop(serial, None)
 
     def close(self) -> None:
-        """Close the link."""
+        """Close the link; pending requests fail with `LinkClosedError`."""
         self._reader.cancel()
+        # This cancels the futures of messages that wait for the connection.
         self._socket.close()
+        for reply in self._pending.values():
+            reply.cancel()
 
     async def _read(self) -> None:
         while True:
--- a/lycheespar/rollouts/reporter.py
+++ b/lycheespar/rollouts/reporter.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from lycheespar.control.link import LinkTimeoutError
+from lycheespar.control.link import LinkError
 from lycheespar.control.messages import ReportEvidence
 from lycheespar.rollouts.evidence import EvidenceCounter
 
@@ -69,6 +69,6 @@
             link = links[self._position % len(links)]
             try:
                 await link.ask(ReportEvidence(report), REPORT_TIMEOUT_S)
-            except LinkTimeoutError:
+            except LinkError:
                 log.info('A control host did not take a report of evidence.')
                 self._position += 1
--- a/lycheespar/tests/control/following/closed_links_tests.py
+++ b/lycheespar/tests/control/following/closed_links_tests.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import pytest
 import zmq.asyncio
 
 from lycheespar.configuration.changes import TakeOutDataCentre
@@ -19,8 +20,13 @@
 from lycheespar.control.following.configuration_follower import (
     ConfigurationFollower,
 )
-from lycheespar.control.link import ControlLink, LinkServer
-from lycheespar.control.messages import ControlReply, ControlRequest, PullReply
+from lycheespar.control.link import ControlLink, LinkClosedError, LinkServer
+from lycheespar.control.messages import (
+    ControlReply,
+    ControlRequest,
+    Pull,
+    PullReply,
+)
 from lycheespar.settings.options import Address
 
 Link = ControlLink[ControlRequest, ControlReply]
@@ -106,3 +112,30 @@
         setup.asked.clear()
         async with asyncio.timeout(LIMIT_S):
             await setup.asked.wait()
+
+
+async def test_a_request_that_waits_on_a_closed_link_gets_an_error():
+    context = zmq.asyncio.Context()
+    link: Link = ControlLink(context, _free_address(), ControlReply)
+    request = asyncio.create_task(link.ask(Pull('node-1', 0, 0), LIMIT_S))
+    while not link._pending:
+        await asyncio.sleep(0)
+    link.close()
+    with pytest.raises(LinkClosedError):
+        await request
+    with pytest.raises(LinkClosedError):
+        await link.ask(Pull('node-1', 0, 0), LIMIT_S)
+    context.destroy(linger=0)
+
+
+async def test_a_request_that_its_caller_cancels_stays_cancelled():
+    context = zmq.asyncio.Context()
+    link: Link = ControlLink(context, _free_address(), ControlReply)
+    request = asyncio.create_task(link.ask(Pull('node-1', 0, 0), LIMIT_S))
+    while not link._pending:
+        await asyncio.sleep(0)
+    request.cancel()
+    link.close()
+    with pytest.raises(asyncio.CancelledError):
+        await request
+    context.destroy(linger=0)
