Background tasks start again after a failure

Tasks of one request or channel keep their own handling.

The events page orders events by module, as the order of the classes depends on what a process imports first.

--- a/lycheespar/background.py
+++ b/lycheespar/background.py
@@ -3,21 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections.abc import Callable, Coroutine
-from typing import Any
-
-from loguru import logger
+from typing import Any, Final
 
 from lycheespar.telemetry.control_events import TaskFailed
 from lycheespar.telemetry.event_log import events
 
 TaskBody = Callable[[], Coroutine[Any, Any, None]]
 
-log = logger.bind(part='app')
+# Time in seconds between the failure of a task and its next start.
+RESTART_PAUSE_S: Final = 0.2
 
 
 def start_background(name: str, body: TaskBody) -> asyncio.Task[None]:
-    """Start a task that reports its end unless it is cancelled by its owner.
+    """Start a task that is started again after a failure.
+
+    It ends when its body returns or when its owner cancels it. A future that
+    the body waits for and that someone else cancels is a failure too.
 
     Parameters
     ----------
@@ -26,18 +29,7 @@
     body : TaskBody
         Coroutine function that the task runs.
     """
-    return asyncio.create_task(_report_end(name, body), name=name)
-
-
-async def _report_end(name: str, body: TaskBody) -> None:
-    try:
-        await body()
-    except asyncio.CancelledError as error:
-        if is_cancelled_by_owner():
-            raise
-        _report(name, error)
-    except Exception as error:
-        _report(name, error)
+    return asyncio.create_task(_run_until_done(name, body), name=name)
 
 
 def is_cancelled_by_owner() -> bool:
@@ -49,6 +41,21 @@
     return task is not None and task.cancelling() > 0
 
 
+async def _run_until_done(name: str, body: TaskBody) -> None:
+    while True:
+        try:
+            await body()
+        except asyncio.CancelledError as error:
+            if is_cancelled_by_owner():
+                raise
+            _report(name, error)
+        except Exception as error:
+            _report(name, error)
+        else:
+            return
+        await asyncio.sleep(RESTART_PAUSE_S)
+
+
 def _report(name: str, error: BaseException) -> None:
-    events.write(TaskFailed(name, repr(error)))
-    log.opt(exception=error).error("Task '{}' failed.", name)
+    place = traceback.extract_tb(error.__traceback__)[-1]
+    events.write(TaskFailed(name, repr(error), f'{place.name}:{place.lineno}'))
--- a/lycheespar/commands/hosted.py
+++ b/lycheespar/commands/hosted.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from lycheespar.background import start_background
 from lycheespar.commands.serve import run_until_stopped
 from lycheespar.errors import SettingsError
 from lycheespar.platform.interfaces import PlatformInterfaces
@@ -76,8 +77,9 @@
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGHUP, sighup_received.set
     )
-    watch_task = asyncio.create_task(
-        _watch_settings(app, path, sighup_received)
+    watch_task = start_background(
+        'settings file',
+        lambda: _watch_settings(app, path, sighup_received),
     )
     try:
         await app.run(stop)
--- a/lycheespar/control/agreement/group.py
+++ b/lycheespar/control/agreement/group.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from lycheespar.background import start_background
 from lycheespar.configuration.changes import Command
 from lycheespar.configuration.stamp import Stamp
 from lycheespar.control.agreement.election import Election
@@ -167,9 +168,9 @@
     def start(self) -> None:
         """Start the background tasks of this member."""
         self._tasks = [
-            asyncio.create_task(self._run()),
-            asyncio.create_task(self._relay.run()),
-            asyncio.create_task(self._joining.run()),
+            start_background('leadership', self._run),
+            start_background('stamp relay', self._relay.run),
+            start_background('joining', self._joining.run),
         ]
 
     def stop(self) -> None:
--- a/lycheespar/control/claims/claims.py
+++ b/lycheespar/control/claims/claims.py
@@ -19,6 +19,7 @@
 import msgspec
 from loguru import logger
 
+from lycheespar.background import start_background
 from lycheespar.configuration.changes import MAX_KEY_RETENTION_S
 from lycheespar.control.claims.claims_file import ClaimsFile, FileHeader
 from lycheespar.control.messages import Claim, ClaimReply, Failure, Release
@@ -169,7 +170,7 @@
             self._newest_sync = self._next_batch.synced
         self._next_batch.messages.append(message)
         if self._writer is None:
-            self._writer = asyncio.create_task(self._write_batches())
+            self._writer = start_background('claims', self._write_batches)
 
     async def _write_batches(self) -> None:
         """Write and sync batch after batch until none is queued."""
--- a/lycheespar/control/link.py
+++ b/lycheespar/control/link.py
@@ -15,7 +15,7 @@
 import zmq.asyncio
 from loguru import logger
 
-from lycheespar.background import is_cancelled_by_owner
+from lycheespar.background import is_cancelled_by_owner, start_background
 from lycheespar.errors import LycheesparError
 from lycheespar.settings.options import Address
 
@@ -105,7 +105,7 @@
         self._socket.connect(f'tcp://{address}')
         self._pending: dict[bytes, asyncio.Future[ReplyType]] = {}
         self._serial = itertools.count()
-        self._reader = asyncio.create_task(self._read())
+        self._reader = start_background('link reader', self._read)
 
     async def ask(self, request: RequestType, timeout_s: float) -> ReplyType:
         """Send a request and wait for its reply.
@@ -198,7 +198,7 @@
     async def start(self, address: Address) -> None:
         """Listen on an address."""
         self._socket.bind(f'tcp://{address}')
-        self._reader = asyncio.create_task(self._read())
+        self._reader = start_background('link reader', self._read)
 
     def close(self) -> None:
         """Close the port; pending requests get no reply."""
--- a/lycheespar/membership/gossip.py
+++ b/lycheespar/membership/gossip.py
@@ -10,6 +10,7 @@
 from loguru import logger
 from msgspec.structs import replace
 
+from lycheespar.background import start_background
 from lycheespar.configuration.stamp import StampSource
 from lycheespar.membership.broadcast import BroadcastTable
 from lycheespar.membership.detector import PROBE_PERIOD_S, Detector
@@ -141,7 +142,7 @@
     async def start(self) -> None:
         """Open the port and start the periodic probes."""
         await self._endpoint.open()
-        self._task = asyncio.create_task(self._run())
+        self._task = start_background('gossip', self._run)
 
     async def stop(self) -> None:
         """Announce the leave to some members, then close the port."""
--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -8,6 +8,7 @@
 
 from lycheespar.admission.duplicates import CallTable
 from lycheespar.admission.key_records import KeyRecords
+from lycheespar.background import start_background
 from lycheespar.call import Load
 from lycheespar.errors import ProtocolError
 from lycheespar.protocol.incoming_channel import IncomingChannel
@@ -88,7 +89,9 @@
         self._server = await asyncio.start_server(
             self._serve_channel, host, port
         )
-        self._sweep_task = asyncio.create_task(self._close_silent())
+        self._sweep_task = start_background(
+            'silent channels', self._close_silent
+        )
 
     async def stop(self) -> None:
         """Close the port, then all channels once their buffers are sent.
--- a/lycheespar/rollouts/controller.py
+++ b/lycheespar/rollouts/controller.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from lycheespar.background import start_background
 from lycheespar.configuration.changes import ANY_REVISION, Command
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.stamp import boot_time_s
@@ -103,7 +104,7 @@
 
     def start(self) -> None:
         """Start to look at the roll-outs."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_background('roll-outs', self._run)
 
     def stop(self) -> None:
         """Stop looking at the roll-outs."""
--- a/lycheespar/rollouts/reporter.py
+++ b/lycheespar/rollouts/reporter.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from lycheespar.background import start_background
 from lycheespar.control.link import LinkError
 from lycheespar.control.messages import ReportEvidence
 from lycheespar.rollouts.evidence import EvidenceCounter
@@ -52,7 +53,7 @@
 
     def start(self) -> None:
         """Start to report."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_background('evidence reports', self._run)
 
     def stop(self) -> None:
         """Stop reporting."""
--- a/lycheespar/targets/probes.py
+++ b/lycheespar/targets/probes.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from lycheespar.background import start_background
 from lycheespar.membership.records import Phase
 from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.targets.announcement import Announcement, LocalTarget
@@ -162,7 +163,7 @@
 
     def start(self) -> None:
         """Start the task that probes the target."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_background('probes', self._run)
 
     async def stop(self) -> None:
         """Stop probing and close the connection."""
--- a/lycheespar/telemetry/control_events.py
+++ b/lycheespar/telemetry/control_events.py
@@ -56,7 +56,7 @@
 
 
 class TaskFailed(Event, frozen=True, tag='task_failed'):
-    """A background task ended although nobody had stopped it.
+    """A background task failed; it is started again soon.
 
     Attributes
     ----------
@@ -64,6 +64,8 @@
         Name of the task.
     error : str
         Error that ended it.
+    place : str
+        Innermost function and line of the error.
     """
 
     part: ClassVar[str] = 'app'
@@ -71,3 +73,4 @@
 
     task: str
     error: str
+    place: str
--- a/lycheespar/telemetry/metrics.py
+++ b/lycheespar/telemetry/metrics.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
+from lycheespar.background import start_background
 from lycheespar.settings.options import Address
 
 if TYPE_CHECKING:
@@ -145,8 +146,8 @@
     def start(self) -> None:
         """Start to send a batch to statsd every `FLUSH_PERIOD_S` seconds."""
         if self._client is not None:
-            self._flush_task = asyncio.create_task(
-                self._flush_periodically(),
+            self._flush_task = start_background(
+                'metrics', self._flush_periodically
             )
 
     def stop(self) -> None:
--- a/tools/events_page.py
+++ b/tools/events_page.py
@@ -18,7 +18,8 @@
 from lycheespar.telemetry.events import Event
 
 PAGE: Final = Path(__file__).parents[1] / 'docs' / 'user' / 'events.md'
-_MODULES: Final = frozenset(
+# Modules with event classes, in the order of their rows.
+_MODULES: Final = tuple(
     module.__name__
     for module in (
         events,
@@ -44,11 +45,16 @@
 
 def events_page() -> str:
     """Return the text of the page."""
-    rows = (
-        _row(event_type)
-        for event_type in _leaf_types(Event)
-        if event_type.__module__ in _MODULES
+    # The order of subclasses depends on which module was imported first.
+    event_types = sorted(
+        (
+            event_type
+            for event_type in _leaf_types(Event)
+            if event_type.__module__ in _MODULES
+        ),
+        key=lambda event_type: _MODULES.index(event_type.__module__),
     )
+    rows = (_row(event_type) for event_type in event_types)
     return '\n'.join((_INTRODUCTION, *rows, ''))
 
 
