Follower: only connected control hosts are asked, and a new revision ends the backoff

Callers saw an old version for seconds after control hosts had been lost and came back, also where the follower's task lived. Causes: hosts that are down were asked one after the other, 1 s each, with pauses that grow to 2 s; a pause did not end when gossip named a new revision; a pull that brought changes, but not yet the newest, counted as a failure and lengthened the next pause, so that changes in quick succession slowed a node down.

Now the follower asks over links that are connected, begins with those it has not tried in this round among the links that exist now, ends a pause at a new revision, and starts the backoff anew after each reply that helped.

The tests of closed links now use a host that never replies, as nothing is sent over a link that is not connected; the request that waits for its connection keeps a test of its own.

--- a/lycheespar/control/following/configuration_follower.py
+++ b/lycheespar/control/following/configuration_follower.py
@@ -42,6 +42,9 @@
 # Bounds of the backoff after a failed pull, in seconds.
 MIN_PAUSE_S: Final = 0.1
 MAX_PAUSE_S: Final = 2
+# Interval in seconds at which a node without a connection to any control host
+# looks for one.
+CONNECTION_POLL_S: Final = 0.1
 # Seconds that a running pull gets to deliver a change after a freshness stamp
 # has named its revision.
 CHANGE_GRACE_S: Final = 0.3
@@ -63,6 +66,10 @@
 
     address: Address
 
+    @property
+    def connected(self) -> bool:
+        """Whether a request can be sent at once."""
+
     async def ask(
         self,
         request: ControlRequest,
@@ -77,6 +84,9 @@
 class ConfigurationFollower:
     """Pulls changes from one control host; switches to another on failure.
 
+    Only control hosts to which a link is connected are asked, so that those
+    which are down cost no time.
+
     Pulls are long polls: a control host replies when there is a change, or
     when the long-poll time has passed. That time grows while gossip delivers
     freshness stamps and shrinks without them. A pull is abandoned soon after a
@@ -105,6 +115,7 @@
         '_replied_at',
         '_saved',
         '_tasks',
+        '_tried',
         '_view',
         '_wait_s',
     )
@@ -125,6 +136,7 @@
         self._wait_s: float = MIN_WAIT_S
         self._pause_s: float = MIN_PAUSE_S
         self._newer_revision_known = asyncio.Event()
+        self._tried: list[NodeLink] = []
         self._failures = 0
         self._replied_at = view.now()
         self._tasks: tuple[asyncio.Task[None], ...] = ()
@@ -156,22 +168,40 @@
 
     async def _run(self) -> None:
         while True:
-            for link in self._shuffled_links():
-                while await self._pull(link):
-                    self._pause_s = MIN_PAUSE_S
-                await self._pause()
-            if not self._links():
-                await self._pause()
+            link = self._next_link()
+            if link is None:
+                await asyncio.sleep(CONNECTION_POLL_S)
+                continue
+            while await self._pull(link):
+                self._tried = [link]
+            await self._pause()
+
+    def _next_link(self) -> NodeLink | None:
+        """Return a connected link, one not tried in this round if possible."""
+        connected = [link for link in self._links() if link.connected]
+        untried = [link for link in connected if link not in self._tried]
+        if not untried:
+            self._tried.clear()
+            untried = connected
+        if not untried:
+            return None
+        link = self._random.choice(untried)
+        self._tried.append(link)
+        return link
 
     async def _pause(self) -> None:
-        """Wait with exponential backoff and jitter."""
-        await asyncio.sleep(self._pause_s * self._random.uniform(0.5, 1))
-        self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
+        """Wait with exponential backoff and jitter.
 
-    def _shuffled_links(self) -> list[NodeLink]:
-        links = list(self._links())
-        self._random.shuffle(links)
-        return links
+        The wait ends, and the backoff starts anew, as soon as a greater
+        revision is known.
+        """
+        pause_s = self._pause_s * self._random.uniform(0.5, 1)
+        self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._newer_revision_known.wait()
+                self._newer_revision_known.clear()
+                self._pause_s = MIN_PAUSE_S
 
     async def _pull(self, link: NodeLink) -> bool:
         """Pull once; return whether to pull from this control host again."""
@@ -190,6 +220,8 @@
         held_s = min(max(reply.held_ms / MS_PER_S, 0), elapsed_s)
         view.accept_stamp(reply.stamp.with_added_age(elapsed_s - held_s))
         self._report_reply(link)
+        if applied:
+            self._pause_s = MIN_PAUSE_S
         return applied and not self._is_urgent()
 
     async def _await_reply(
@@ -202,13 +234,15 @@
             link.ask(request, request.wait_s + REPLY_MARGIN_S),
         )
         urgent = asyncio.create_task(self._wait_until_urgent(request.wait_s))
-        await asyncio.wait(
-            (pull, urgent),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        urgent.cancel()
-        if not pull.done():
-            pull.cancel()
+        try:
+            await asyncio.wait(
+                (pull, urgent),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            urgent.cancel()
+            pull_done = not pull.cancel()
+        if not pull_done:
             return _ABANDONED
         try:
             reply = pull.result()
--- a/lycheespar/control/link.py
+++ b/lycheespar/control/link.py
@@ -107,6 +107,13 @@
         self._serial = itertools.count()
         self._reader = start_background('link reader', self._read)
 
+    @property
+    def connected(self) -> bool:
+        """Whether a request can be sent at once."""
+        if self._socket.closed:
+            return False
+        return bool(int(self._socket.get(zmq.EVENTS)) & zmq.POLLOUT)
+
     async def ask(self, request: RequestType, timeout_s: float) -> ReplyType:
         """Send a request and wait for its reply.
 
--- a/lycheespar/tests/control/following/closed_links_tests.py
+++ b/lycheespar/tests/control/following/closed_links_tests.py
@@ -7,8 +7,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
 import zmq.asyncio
@@ -44,74 +43,92 @@
     return PullReply(Stamp(1, 1, 1), (TakeOutDataCentre('a'),), base_revision=0)
 
 
+async def _never_reply(_: ControlRequest) -> ControlReply:
+    await asyncio.get_running_loop().create_future()
+    raise AssertionError
+
+
 class Setup:
-    """A follower whose only link leads to a control host that is down."""
+    """A follower with a link to a control host that never replies."""
 
-    def __init__(self, context: zmq.asyncio.Context) -> None:
-        self._context = context
+    def __init__(self) -> None:
+        self._context = zmq.asyncio.Context()
+        self._servers: list[LinkServer[ControlRequest, ControlReply]] = []
         self.view = ConfigurationView(Configuration())
         self.asked = asyncio.Event()
         self.links: list[Link] = []
-        self.add_link(_free_address())
         self._follower = ConfigurationFollower(
             'node-1', self.view, self._list_links
         )
-        self._follower.start()
 
-    def add_link(self, address: Address) -> Link:
-        """Add a link to a control host."""
+    async def add_host(
+        self,
+        reply: Callable[[ControlRequest], Awaitable[ControlReply]],
+    ) -> Link:
+        """Start a control host and return the link to it."""
+        server: LinkServer[ControlRequest, ControlReply] = LinkServer(
+            self._context, ControlRequest, reply
+        )
+        address = _free_address()
+        await server.start(address)
+        self._servers.append(server)
         link: Link = ControlLink(self._context, address, ControlReply)
         self.links.append(link)
         return link
 
+    async def start(self) -> Link:
+        """Start to follow; return the link to the host that never replies."""
+        link = await self.add_host(_never_reply)
+        self._follower.start()
+        return link
+
+    async def wait_for_change(self) -> None:
+        """Replace the link by one to a host with a change, and wait for it."""
+        self.links.clear()
+        await self.add_host(_reply_with_one_change)
+        async with asyncio.timeout(LIMIT_S):
+            while self.view.current.revision != 1:
+                await asyncio.sleep(0.05)
+
     def stop(self) -> None:
-        """Stop the follower and close the links."""
+        """Stop the follower and close all sockets."""
         self._follower.stop()
-        for link in self.links:
-            link.close()
+        for closable in (*self.links, *self._servers):
+            closable.close()
+        self._context.destroy(linger=0)
 
     def _list_links(self) -> list[Link]:
         self.asked.set()
         return self.links
 
 
-@asynccontextmanager
-async def _running_setup() -> AsyncIterator[Setup]:
-    context = zmq.asyncio.Context()
-    setup = Setup(context)
-    server: LinkServer[ControlRequest, ControlReply] = LinkServer(
-        context, ControlRequest, _reply_with_one_change
-    )
-    address = _free_address()
-    await server.start(address)
-    try:
-        yield setup
-        setup.links.clear()
-        setup.add_link(address)
-        async with asyncio.timeout(LIMIT_S):
-            while setup.view.current.revision != 1:
-                await asyncio.sleep(0.05)
-    finally:
-        setup.stop()
-        server.close()
-        context.destroy(linger=0)
+@pytest.fixture
+async def setup() -> AsyncIterator[Setup]:
+    """A follower that the test starts."""
+    created = Setup()
+    yield created
+    created.stop()
 
 
-async def test_node_follows_again_after_its_link_was_closed_during_a_pull():
-    async with _running_setup() as setup:
-        (link,) = setup.links
+async def test_node_follows_again_after_its_link_was_closed_during_a_pull(
+    setup,
+):
+    link = await setup.start()
+    async with asyncio.timeout(LIMIT_S):
         while not link._pending:
-            await asyncio.sleep(0)
-        link.close()
+            await asyncio.sleep(0.01)
+    link.close()
+    await setup.wait_for_change()
 
 
-async def test_node_follows_again_after_it_pulled_over_a_closed_link():
-    async with _running_setup() as setup:
-        setup.links[0].close()
+async def test_node_follows_again_after_it_pulled_over_a_closed_link(setup):
+    link = await setup.start()
+    link.close()
+    async with asyncio.timeout(LIMIT_S):
         await setup.asked.wait()
         setup.asked.clear()
-        async with asyncio.timeout(LIMIT_S):
-            await setup.asked.wait()
+        await setup.asked.wait()
+    await setup.wait_for_change()
 
 
 async def test_a_request_that_waits_on_a_closed_link_gets_an_error():
--- a/lycheespar/tests/control/following/configuration_follower_tests.py
+++ b/lycheespar/tests/control/following/configuration_follower_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 
 import pytest
 
@@ -27,10 +28,16 @@
 
     def __init__(self) -> None:
         self.changes: list[TakeOutDataCentre] = []
+        self._accepted_at: list[float] = []
 
     def accept(self, name: str) -> None:
         """Accept a change."""
         self.changes.append(TakeOutDataCentre(name))
+        self._accepted_at.append(asyncio.get_running_loop().time())
+
+    def revision_at(self, time: float) -> int:
+        """Return the number of changes accepted until a time."""
+        return bisect.bisect_right(self._accepted_at, time)
 
 
 class SimulatedHost:
@@ -43,8 +50,10 @@
         self.isolated_at: float | None = None
         self._frozen = (0, Stamp())
         self.silent = False
+        self.connected = True
         self.refusing = False
         self.overlap = 0
+        self.delay_s = 0.0
         self.pulls = 0
 
     def isolate(self) -> None:
@@ -59,7 +68,7 @@
     async def ask(self, request, timeout_s):
         """Answer a pull."""
         self.pulls += 1
-        if self.silent:
+        if self.silent or not self.connected:
             await asyncio.sleep(timeout_s)
             raise LinkTimeoutError
         if self.refusing:
@@ -84,7 +93,7 @@
     def _revision(self) -> int:
         if self.isolated_at is not None:
             return self._frozen[0]
-        return len(self._group.changes)
+        return self._group.revision_at(self._loop.time() - self.delay_s)
 
     def _stamp(self) -> Stamp:
         now = self._loop.time()
@@ -96,19 +105,24 @@
 
 
 class FollowerSetup:
-    """A follower with three simulated control hosts."""
-
-    def __init__(self, saved: SavedConfiguration | None = None) -> None:
+    """A follower with simulated control hosts."""
+
+    def __init__(
+        self,
+        saved: SavedConfiguration | None = None,
+        node: str = 'node-1',
+        hosts: int = 3,
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.group = SimulatedGroup()
-        self.hosts = [SimulatedHost(self.group) for _ in range(3)]
+        self.hosts = [SimulatedHost(self.group) for _ in range(hosts)]
         self.view = ConfigurationView(Configuration(), clock=loop.time)
         self.revisions: list[int] = []
         self.view.changes.subscribe(
             lambda configuration: self.revisions.append(configuration.revision),
         )
         self.follower = ConfigurationFollower(
-            'node-1', self.view, lambda: self.hosts, saved
+            node, self.view, lambda: self.hosts, saved
         )
         self.follower.start()
 
@@ -153,6 +167,57 @@
     run_virtual(scenario)
 
 
+@pytest.mark.parametrize('node', [f'node-{number}' for number in range(20)])
+def test_a_node_is_current_soon_after_most_lost_hosts_are_back(node):
+    async def scenario(loop: VirtualLoop) -> None:
+        setup = FollowerSetup(node=node, hosts=5)
+        await until(setup.is_fresh, 2)
+        for host in setup.hosts:
+            host.connected = False
+        await asyncio.sleep(8)
+        setup.group.accept('a')
+        for host in setup.hosts[:3]:
+            host.connected = True
+        await until(setup.is_fresh, 2)
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize('gap_s', [0.03, 0.25])
+def test_a_node_keeps_up_with_changes_that_gossip_announces_first(gap_s):
+    async def scenario(loop: VirtualLoop) -> None:
+        setup = FollowerSetup(hosts=5)
+        for host in setup.hosts:
+            host.delay_s = 0.3
+        await until(setup.is_fresh, 2)
+        for number in range(1, 61):
+            setup.group.accept(str(number))
+            setup.view.accept_stamp(Stamp(1, number, 1000 + number, 20))
+            await asyncio.sleep(gap_s)
+            behind_at = setup.group.revision_at(loop.time() - 0.8)
+            assert setup.view.current.revision >= behind_at
+
+    run_virtual(scenario)
+
+
+@pytest.mark.parametrize('node', [f'node-{number}' for number in range(20)])
+def test_a_gossiped_change_ends_the_backoff_of_a_node(node):
+    async def scenario(loop: VirtualLoop) -> None:
+        setup = FollowerSetup(node=node, hosts=5)
+        await until(setup.is_fresh, 2)
+        for host in setup.hosts:
+            host.refusing = True
+        await asyncio.sleep(8)
+        for host in setup.hosts:
+            host.refusing = False
+        setup.group.accept('a')
+        await asyncio.sleep(0.1)
+        setup.view.accept_stamp(setup.hosts[0]._stamp())
+        await until(setup.is_fresh, 0.5)
+
+    run_virtual(scenario)
+
+
 def test_gossiped_stamp_makes_a_node_leave_an_isolated_host():
     async def scenario(loop: VirtualLoop) -> None:
         setup = FollowerSetup()
