Control: large replies to pulls are compressed, slow ones get more time

A plan with 1,500 routes is a reply of 796 KB, which takes more than the second that a pull has on a link of 6 Mbit/s; a node that starts, or that is told of a large change, would begin the same transfer again and again.

The time for a reply doubles, up to 8 s, when no control host replied in a round. Former nodes and control hosts go on without compression.

Test that failed before: test_a_node_on_a_slow_link_gets_a_large_reply.

--- a/lycheespar/control/following/configuration_follower.py
+++ b/lycheespar/control/following/configuration_follower.py
@@ -25,6 +25,7 @@
     Pull,
     PullReply,
 )
+from lycheespar.control.packing import ReplyDamagedError, unpack
 from lycheespar.errors import ChangeInvalidError
 from lycheespar.settings.options import Address
 from lycheespar.telemetry.control_events import PullFailed, PullRecovered
@@ -34,8 +35,10 @@
 # Bounds of the long-poll time of a pull, in seconds.
 MIN_WAIT_S: Final = 1
 MAX_WAIT_S: Final = 8
-# Time allowed for the reply after the long-poll time, in seconds.
+# Bounds of the time for the reply after the long-poll time, in seconds. It
+# doubles when no control host has replied, as a large reply may take longer.
 REPLY_MARGIN_S: Final = 1
+MAX_REPLY_MARGIN_S: Final = 8
 # Seconds without a confirmation of the configuration after which a pull is
 # abandoned and the next one is sent without long polling.
 URGENT_AGE_S: Final = 2
@@ -108,6 +111,7 @@
     __slots__ = (
         '_failures',
         '_links',
+        '_margin_s',
         '_newer_revision_known',
         '_node',
         '_pause_s',
@@ -138,6 +142,7 @@
         self._newer_revision_known = asyncio.Event()
         self._tried: list[NodeLink] = []
         self._failures = 0
+        self._margin_s: float = REPLY_MARGIN_S
         self._replied_at = view.now()
         self._tasks: tuple[asyncio.Task[None], ...] = ()
 
@@ -179,12 +184,13 @@
     def _next_link(self) -> NodeLink | None:
         """Return a connected link, one not tried in this round if possible."""
         connected = [link for link in self._links() if link.connected]
+        if not connected:
+            return None
         untried = [link for link in connected if link not in self._tried]
         if not untried:
             self._tried.clear()
+            self._margin_s = min(self._margin_s * 2, MAX_REPLY_MARGIN_S)
             untried = connected
-        if not untried:
-            return None
         link = self._random.choice(untried)
         self._tried.append(link)
         return link
@@ -207,7 +213,9 @@
         """Pull once; return whether to pull from this control host again."""
         view = self._view
         wait_s = 0 if self._is_urgent() else self._wait_s
-        request = Pull(self._node, view.current.revision, wait_s)
+        request = Pull(
+            self._node, view.current.revision, wait_s, accepts_packed=True
+        )
         began_at = view.now()
         reply = await self._await_reply(link, request)
         if not isinstance(reply, PullReply):
@@ -231,7 +239,7 @@
     ) -> PullReply | str:
         """Return the reply, or the reason why there is none."""
         pull = asyncio.create_task(
-            link.ask(request, request.wait_s + REPLY_MARGIN_S),
+            link.ask(request, request.wait_s + self._margin_s),
         )
         urgent = asyncio.create_task(self._wait_until_urgent(request.wait_s))
         try:
@@ -250,7 +258,7 @@
             return error.code
         match reply:
             case PullReply():
-                return reply
+                return _unpack(reply)
             case Failure(code):
                 return code
             case _:
@@ -270,6 +278,7 @@
 
     def _report_reply(self, link: NodeLink) -> None:
         self._replied_at = self._view.now()
+        self._margin_s = REPLY_MARGIN_S
         if self._failures:
             events.write(
                 PullRecovered(
@@ -287,7 +296,7 @@
         """
         self._newer_revision_known.clear()
         if not wait_s:
-            await asyncio.sleep(REPLY_MARGIN_S)
+            await asyncio.sleep(self._margin_s)
         while (remaining_s := URGENT_AGE_S - self._view.age_s) > 0:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(remaining_s):
@@ -356,6 +365,15 @@
             handled_revision = configuration.revision
 
 
+def _unpack(reply: PullReply) -> PullReply | str:
+    """Return a reply with its content, or the code of the error."""
+    try:
+        return unpack(reply)
+    except ReplyDamagedError as error:
+        log.error("A control host's reply is damaged: {}.", error.detail)
+        return error.code
+
+
 def _apply_changes(
     base: Configuration,
     changes: Sequence[Change],
--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -41,6 +41,8 @@
     Release,
     ReportEvidence,
 )
+from lycheespar.control.packing import ReplyPacker
+from lycheespar.control.state.state import GroupState
 from lycheespar.control.storage.storage import Storage
 from lycheespar.errors import ControlError, NotCurrentError
 from lycheespar.membership.records import Liveness, MemberRecord
@@ -114,6 +116,7 @@
         )
         self._progress = ProgressTracker()
         self._evidence = EvidenceTable()
+        self._packer = ReplyPacker()
         self._server: LinkServer[HostRequest, HostReply] = LinkServer(
             context,
             HostRequest,
@@ -248,7 +251,16 @@
                 request.revision,
                 state.revision,
             )
-        changes = state.changes_since(request.revision)
+        reply = self._build_reply(state, request.revision, held_ms)
+        if not request.accepts_packed:
+            return reply
+        return self._packer.pack(reply, state.revision)
+
+    def _build_reply(
+        self, state: GroupState, revision: int, held_ms: float
+    ) -> PullReply:
+        """Build the reply with what is newer than a revision."""
+        changes = state.changes_since(revision)
         if changes is None:
             return PullReply(
                 self.group.stamp,
@@ -259,5 +271,5 @@
             self.group.stamp,
             changes,
             held_ms=held_ms,
-            base_revision=request.revision,
+            base_revision=revision,
         )
--- a/lycheespar/control/messages.py
+++ b/lycheespar/control/messages.py
@@ -26,11 +26,14 @@
     wait_s : float
         Time in seconds for which the host may wait for a change before it
         replies.
+    accepts_packed : bool
+        Whether the node can unpack compressed replies.
     """
 
     node: str
     revision: int
     wait_s: float
+    accepts_packed: bool = False
 
 
 class PullReply(msgspec.Struct, frozen=True, tag='pull_reply'):
@@ -51,6 +54,8 @@
     base_revision : int
         Revision that the first change follows; negative for the revision in
         the request.
+    packed : bytes
+        Changes and configuration, compressed; empty if they are not.
     """
 
     stamp: Stamp
@@ -58,6 +63,7 @@
     configuration: Configuration | None = None
     held_ms: float = 0
     base_revision: int = -1
+    packed: bytes = b''
 
 
 class Claim(msgspec.Struct, frozen=True, gc=False, tag='claim'):
--- a/lycheespar/tests/control/following/configuration_follower_tests.py
+++ b/lycheespar/tests/control/following/configuration_follower_tests.py
@@ -54,6 +54,7 @@
         self.refusing = False
         self.overlap = 0
         self.delay_s = 0.0
+        self.transfer_s = 0.0
         self.pulls = 0
 
     def isolate(self) -> None:
@@ -79,6 +80,10 @@
             if self._loop.time() >= ends_at:
                 break
             await asyncio.sleep(POLL_S)
+        if self.transfer_s > timeout_s - (self._loop.time() - pull_started_at):
+            await asyncio.sleep(timeout_s)
+            raise LinkTimeoutError
+        await asyncio.sleep(self.transfer_s)
         first = max(request.revision - self.overlap, 0)
         return PullReply(
             self._stamp(),
@@ -183,6 +188,17 @@
     run_virtual(scenario)
 
 
+def test_a_node_on_a_slow_link_gets_a_large_reply():
+    async def scenario(loop: VirtualLoop) -> None:
+        setup = FollowerSetup()
+        for host in setup.hosts:
+            host.transfer_s = 1.5
+        setup.group.accept('a')
+        await until(lambda: setup.view.current.revision, 20)
+
+    run_virtual(scenario)
+
+
 @pytest.mark.parametrize('gap_s', [0.03, 0.25])
 def test_a_node_keeps_up_with_changes_that_gossip_announces_first(gap_s):
     async def scenario(loop: VirtualLoop) -> None:
