Decoding: announcements, load reports and documents are checked for their range

Report of another operator: one odd entry ended or stopped those that read it. Here, deeply nested JSON got a 500, a number of slots beyond 64 bits was accepted and ended the gossip of its node, a load header with 5,000 digits ended the prober, and NaN came into the plan. Cause: only types were checked, and RecursionError and OverflowError were not expected. Now such an entry gets a 4xx and changes nothing; what was known before holds.

--- a/lycheespar/control/api/api.py
+++ b/lycheespar/control/api/api.py
@@ -12,6 +12,7 @@
 from lycheespar.configuration.changes import Command
 from lycheespar.control.api.status import StatusReport, status_of
 from lycheespar.control.host import ControlHost
+from lycheespar.decoding import decode
 from lycheespar.errors import (
     ChangeConflictError,
     ChangeInvalidError,
@@ -91,10 +92,7 @@
         return _json_response(report)
 
     async def _post_change(self, request: web.Request) -> web.Response:
-        try:
-            command = _command_decoder.decode(await request.read())
-        except msgspec.DecodeError as error:
-            raise ChangeInvalidError((str(error),)) from error
+        command = decode_command(await request.read())
         revision = await self._group.submit(command)
         log.info(
             "Operator '{}' created revision {}.",
@@ -104,6 +102,23 @@
         return _json_response(ChangeReply(revision))
 
 
+def decode_command(body: bytes) -> Command:
+    """Decode the body of a change.
+
+    Raises
+    ------
+    ChangeInvalidError
+        The body is malformed, or a number in it is out of range.
+    """
+    try:
+        command = decode(_command_decoder, body)
+        # The log of the control hosts has integers of 64 bits.
+        msgspec.msgpack.encode(command)
+    except (msgspec.DecodeError, OverflowError) as error:
+        raise ChangeInvalidError((str(error),)) from error
+    return command
+
+
 @web.middleware
 async def _error_middleware(
     request: web.Request,
--- a/lycheespar/platform/documents.py
+++ b/lycheespar/platform/documents.py
@@ -15,6 +15,7 @@
     RoutePlan,
     ServiceProfile,
 )
+from lycheespar.decoding import load_json
 from lycheespar.errors import ChangeInvalidError
 from lycheespar.platform.formats import (
     format_version,
@@ -123,7 +124,13 @@
 
 # Raised while decoding a resource that lacks a field or has a field of the
 # wrong type.
-_DECODING_ERRORS: Final = (KeyError, TypeError, ValueError, AttributeError)
+_DECODING_ERRORS: Final = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    RecursionError,
+)
 
 
 class _Resources:
@@ -243,7 +250,7 @@
 
 def _decode_object(body: bytes) -> Mapping[str, Any]:
     try:
-        given = json.loads(body)
+        given = load_json(body)
     except ValueError as error:
         raise ChangeInvalidError(
             (f'the body is not valid JSON: {error}',)
--- a/lycheespar/platform/formats.py
+++ b/lycheespar/platform/formats.py
@@ -5,7 +5,10 @@
 import re
 from typing import Final
 
+from lycheespar.decoding import MAX_DURATION_S
+
 MS_PER_S: Final = 1000
+_MAX_DURATION_MS: Final = MAX_DURATION_S * MS_PER_S
 _DURATION: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
 _UNITS_MS: Final = {'ms': 1, 's': MS_PER_S}
 _VERSION: Final = re.compile('[0-9a-fA-F]{8}')
@@ -17,7 +20,7 @@
     Raises
     ------
     ValueError
-        The text is not a duration.
+        The text is not a duration, or it is longer than 30 days.
     """
     found = _DURATION.fullmatch(str(text))
     if found is None:
@@ -25,7 +28,10 @@
             f"'{text}' is not a duration such as '1500ms' or '2.5s'"
         )
     number, unit = found.groups()
-    return float(number) * _UNITS_MS[unit]
+    duration_ms = float(number) * _UNITS_MS[unit]
+    if duration_ms > _MAX_DURATION_MS:
+        raise ValueError(f'a duration is over {MAX_DURATION_S} s')
+    return duration_ms
 
 
 def parse_s(text: object) -> float:
--- a/lycheespar/platform/heartbeats.py
+++ b/lycheespar/platform/heartbeats.py
@@ -9,10 +9,21 @@
 from aiohttp import web
 from loguru import logger
 
+from lycheespar.decoding import (
+    MAX_NAME_LENGTH,
+    Integer,
+    Name,
+    Slots,
+    decode,
+)
 from lycheespar.platform.formats import MS_PER_S, parse_s
 from lycheespar.platform.rpc import is_rpc_call, rpc_response
-from lycheespar.settings.options import Address, parse_address
-from lycheespar.targets.announcement import Announcement, LocalTarget
+from lycheespar.settings.options import Address
+from lycheespar.targets.announcement import (
+    Announcement,
+    LocalTarget,
+    parse_target_address,
+)
 
 # Heartbeat intervals without a heartbeat after which a target counts as gone.
 LEASE_HEARTBEATS: Final = 4
@@ -26,10 +37,10 @@
 class _TargetInfo(msgspec.Struct):
     """Part of a heartbeat that stays the same while a target runs."""
 
-    service: str
-    slots: int
-    data_centre: str = msgspec.field(default='', name='zone')
-    version: str = ''
+    service: Name
+    slots: Slots
+    data_centre: Name = msgspec.field(default='', name='zone')
+    version: Name = ''
 
 
 class _TargetStatus(msgspec.Struct):
@@ -44,7 +55,7 @@
     """
 
     state: Literal['ready', 'draining']
-    sequence: int
+    sequence: Integer
     cold_remaining: str = '0ms'
 
 
@@ -60,7 +71,7 @@
     address: str
     info: _TargetInfo
     status: _TargetStatus
-    started_at_ms: int = msgspec.field(default=0, name='born')
+    started_at_ms: Integer = msgspec.field(default=0, name='born')
 
 
 _heartbeat_decoder = msgspec.json.Decoder(_Heartbeat)
@@ -75,7 +86,7 @@
         Unix time of the target's start in milliseconds; 0 if not given.
     """
 
-    started_at_ms: int = msgspec.field(default=0, name='born')
+    started_at_ms: Integer = msgspec.field(default=0, name='born')
 
 
 _deregistration_decoder = msgspec.json.Decoder(_Deregistration)
@@ -163,7 +174,7 @@
 
     def _handle_heartbeat(self, target: str, body: bytes) -> web.Response:
         try:
-            heartbeat = _heartbeat_decoder.decode(body)
+            heartbeat = decode(_heartbeat_decoder, body)
             announcement = self._to_announcement(target, heartbeat)
         except ValueError as error:
             log.warning(
@@ -191,13 +202,13 @@
             The heartbeat is invalid, or its service does not run here.
         """
         info, status = heartbeat.info, heartbeat.status
-        if not target or info.slots < 1:
-            raise ValueError('the target has no name or no slots')
+        if not 0 < len(target) <= MAX_NAME_LENGTH:
+            raise ValueError('the target has no name, or a very long one')
         if self._own_service and info.service != self._own_service:
             raise ValueError(
                 f"service '{info.service}' does not run on this host"
             )
-        parse_address(heartbeat.address)
+        parse_target_address(heartbeat.address)
         cold_s = parse_s(status.cold_remaining)
         return Announcement(
             target=target,
@@ -262,10 +273,11 @@
 def _deregistered_start_ms(body: bytes) -> int:
     """Return the start time in a deregistration, 0 if it has none."""
     try:
-        return _deregistration_decoder.decode(body).started_at_ms if body else 0
+        deregistration = decode(_deregistration_decoder, body or b'{}')
     except msgspec.DecodeError as error:
         log.warning('Ignored the invalid body of a deregistration: {}.', error)
         return 0
+    return deregistration.started_at_ms
 
 
 def _now_ms() -> int:
--- a/lycheespar/platform/settings.py
+++ b/lycheespar/platform/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import os
 from collections.abc import Mapping
 from pathlib import Path
@@ -10,6 +9,7 @@
 
 import msgspec
 
+from lycheespar.decoding import load_json
 from lycheespar.errors import SettingsError
 from lycheespar.platform.formats import parse_s
 from lycheespar.settings.definitions import ControlSettings, NodeSettings
@@ -154,7 +154,7 @@
         The file can't be read, or fields are invalid; the error lists all.
     """
     try:
-        given = json.loads(path.read_text('utf-8'))
+        given = load_json(path.read_text('utf-8'))
     except (OSError, ValueError) as error:
         raise SettingsError((f'{path}: {error}',)) from error
     if not isinstance(given, dict):
--- a/lycheespar/settings/options.py
+++ b/lycheespar/settings/options.py
@@ -214,6 +214,9 @@
         return tuple(map(parse_address, value))
 
 
+_MAX_PORT_DIGITS: Final = 5
+
+
 def parse_address(value: Any) -> Address:
     """Parse an address of the form ``host:port``.
 
@@ -230,6 +233,7 @@
         raise InvalidOptionError(
             f"'{value}' is not an IP address with a port, such as 127.0.0.1:80",
         ) from error
-    if not (port.isdecimal() and int(port) < 2**16):
+    is_number = port.isdecimal() and len(port) <= _MAX_PORT_DIGITS
+    if not (is_number and int(port) < 2**16):
         raise InvalidOptionError(f"'{value}' has no valid port")
     return Address(host, int(port))
--- a/lycheespar/targets/announcement.py
+++ b/lycheespar/targets/announcement.py
@@ -10,7 +10,13 @@
 from reactivex import Observable
 from reactivex.subject import BehaviorSubject
 
+from lycheespar.decoding import Connections, Name, Seconds, Slots
 from lycheespar.membership.records import Phase
+from lycheespar.settings.options import (
+    Address,
+    InvalidOptionError,
+    parse_address,
+)
 
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -42,18 +48,18 @@
         Version of the target's software.
     """
 
-    target: str
-    team: str
-    service: str
+    target: Name
+    team: Name
+    service: Name
     address: str
-    slots: int = 8
-    connections: int = 64
+    slots: Slots = 8
+    connections: Connections = 64
     phase: Literal['cold', 'ready', 'draining', 'leaving'] = 'ready'
-    incarnation: str = ''
-    lease_s: float = 5
+    incarnation: Name = ''
+    lease_s: Seconds = 5
     load_path: str = ''
-    cold_s: float = 0
-    version: str = ''
+    cold_s: Seconds = 0
+    version: Name = ''
 
     @property
     def service_name(self) -> str:
@@ -82,6 +88,20 @@
 _ENDING = frozenset((Phase.draining, Phase.left))
 
 
+def parse_target_address(text: str) -> Address:
+    """Parse the address of a target, which has a port other than 0.
+
+    Raises
+    ------
+    InvalidOptionError
+        The text is not an IP address with a port.
+    """
+    address = parse_address(text)
+    if not address.port:
+        raise InvalidOptionError(f"'{text}' has no valid port")
+    return address
+
+
 class LocalTarget:
     """The target of this node, as long as its announcement is valid."""
 
--- a/lycheespar/targets/api.py
+++ b/lycheespar/targets/api.py
@@ -6,12 +6,13 @@
 from aiohttp import web
 from loguru import logger
 
-from lycheespar.settings.options import (
-    Address,
-    InvalidOptionError,
-    parse_address,
+from lycheespar.decoding import decode
+from lycheespar.settings.options import Address, InvalidOptionError
+from lycheespar.targets.announcement import (
+    Announcement,
+    LocalTarget,
+    parse_target_address,
 )
-from lycheespar.targets.announcement import Announcement, LocalTarget
 
 ANNOUNCE_PATH = '/v1/announce'
 
@@ -50,15 +51,13 @@
         if (request.method, request.path) != ('POST', ANNOUNCE_PATH):
             return _problem(404, 'not_found', 'POST /v1/announce')
         try:
-            announcement = _decoder.decode(await request.read())
-            parse_address(announcement.address)
+            announcement = decode(_decoder, await request.read())
+            parse_target_address(announcement.address)
         except (msgspec.DecodeError, InvalidOptionError) as error:
             return _problem(422, 'announcement_invalid', str(error))
-        if announcement.slots < 1 or announcement.lease_s <= 0:
+        if announcement.lease_s <= 0:
             return _problem(
-                422,
-                'announcement_invalid',
-                'slots must be at least 1, lease_s above 0',
+                422, 'announcement_invalid', 'lease_s must be above 0'
             )
         self._target.announce(announcement)
         return web.Response(
--- a/lycheespar/targets/load.py
+++ b/lycheespar/targets/load.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
+from lycheespar.decoding import Count, Name, Seconds, decode
 from lycheespar.profile import HeaderProfile
 from lycheespar.targets.notices import Notices, read_notices
 
@@ -15,6 +16,10 @@
 USUAL_PACE_PERCENT: Final = 100
 # Minimum count of numbers in a load header that includes the pace.
 _NUMBERS_WITH_PACE: Final = 4
+# Greatest multiple of the usual time that a target may report.
+MAX_PACE: Final = 1_000_000
+# Greatest number of digits of a number in a header.
+_MAX_DIGITS: Final = 8
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -38,11 +43,11 @@
         Limit that the target names, and whether it leaves.
     """
 
-    running: int = 0
-    waiting: int = 0
-    pace: float = 0
-    cold_s: float = -1
-    target: str = ''
+    running: Count = 0
+    waiting: Count = 0
+    pace: Annotated[float, msgspec.Meta(ge=0, le=MAX_PACE)] = 0
+    cold_s: Seconds = -1
+    target: Name = ''
     notices: Notices = Notices()
 
 
@@ -57,7 +62,7 @@
     msgspec.DecodeError
         The body is not a valid load report.
     """
-    return _decoder.decode(body)
+    return decode(_decoder, body)
 
 
 def decode_headers(
@@ -69,7 +74,7 @@
     Headers that are missing or malformed count as not reported.
     """
     numbers = _parse_numbers(headers.get(profile.load, ''))
-    cold_ms = headers.get(profile.cold_ms, '')
+    cold_ms = _parse_count(headers.get(profile.cold_ms, ''))
     target = headers.get(profile.target, '')
     return LoadReport(
         running=numbers[0] if numbers else 0,
@@ -77,14 +82,20 @@
         pace=numbers[3] / USUAL_PACE_PERCENT
         if len(numbers) >= _NUMBERS_WITH_PACE
         else 0,
-        cold_s=int(cold_ms) / MS_PER_S if cold_ms.isdecimal() else -1,
+        cold_s=-1 if cold_ms is None else cold_ms / MS_PER_S,
         target=target,
         notices=read_notices(headers.items(), profile, target),
     )
 
 
 def _parse_numbers(text: str) -> list[int]:
-    parts = [part.strip() for part in text.split(',')]
-    if not all(part.isdecimal() for part in parts):
-        return []
-    return [int(part) for part in parts]
+    """Return the numbers in a list; none if one of them is malformed."""
+    numbers = [_parse_count(part.strip()) for part in text.split(',')]
+    known = [number for number in numbers if number is not None]
+    return known if len(known) == len(numbers) else []
+
+
+def _parse_count(text: str) -> int | None:
+    if text.isdecimal() and len(text) <= _MAX_DIGITS:
+        return int(text)
+    return None
--- /dev/null
+++ b/lycheespar/tests/control/api/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `lycheespar.control.api`."""
