Targets: a copy of a refusal is not read as the next answer

Report of another operator: a target wrote a refusal twice on a kept connection, and the next request was told 'not run' though it ran. Here this could happen where answers do not name their request, which is so with the default headers. Such a connection is not used again now. Where answers name their request, the copy was an unknown outcome before, too; a test says so.

Test that failed before, for 408, 421, 429 and 503: identity_tests.py::test_a_copy_of_a_refusal_is_not_read_as_the_next_answer.

Second report: heads that break off. Cut at each byte, none became an answer; client_tests.py::test_a_head_that_breaks_off_is_no_answer passed at once.

--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -96,6 +96,7 @@
         self._base = f'http://{announcement.address}'
         self._session = aiohttp.ClientSession(
             connector=StrictConnector(
+                profile.request_id,
                 limit=announcement.connections,
                 use_dns_cache=False,
                 keepalive_timeout=IDLE_TIMEOUT_S,
--- a/lycheespar/targets/connection.py
+++ b/lycheespar/targets/connection.py
@@ -7,6 +7,9 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+
+from lycheespar.targets.shedding import NOT_RUN_STATUSES
 
 # Bytes that may arrive without a head or a part of a body, such as a head that
 # never ends or extensions of chunks.
@@ -19,13 +22,26 @@
     """Connection that distinguishes a reset from the end of an answer.
 
     A connection is not reused after it received bytes beyond a complete answer,
-    as they would be read as the answer to the next request. A connection on
-    which bytes arrive that form no answer is closed.
+    as they would be read as the answer to the next request. Nor is one on
+    which a refusal arrived that does not name its request, as a copy of it
+    would be. A connection on which bytes arrive that form no answer is closed.
+
+    Parameters
+    ----------
+    *arguments : Any
+        Arguments of the base class.
+    request_id : str
+        Header of an answer that names its request; empty if there is none.
+    **options : Any
+        Options of the base class.
     """
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
+    def __init__(
+        self, *arguments: Any, request_id: str = '', **options: Any
+    ) -> None:
         """Create the protocol of a new connection."""
         super().__init__(*arguments, **options)
+        self._request_id = request_id
         self._heads = 0
         self._bytes_without_progress = 0
 
@@ -38,6 +54,9 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Receive a head."""
         self._heads += 1
+        head = data[0]
+        if head.code in NOT_RUN_STATUSES and not self._is_identified(head):
+            self.force_close()
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
@@ -69,6 +88,10 @@
         """Whether the connection is open and has no unread bytes."""
         return super().is_connected() and not self.should_close
 
+    def _is_identified(self, head: RawResponseMessage) -> bool:
+        """Whether a head names the request that it answers."""
+        return bool(self._request_id) and self._request_id in head.headers
+
     def _progress(self) -> tuple[int, int]:
         """Return how many heads and bytes of the current body arrived."""
         body = self._payload
@@ -90,10 +113,20 @@
 
 
 class StrictConnector(aiohttp.TCPConnector):
-    """Connector that creates connections of `StrictResponseHandler`."""
+    """Connector that creates connections of `StrictResponseHandler`.
+
+    Parameters
+    ----------
+    request_id : str
+        Header of an answer that names its request; empty if there is none.
+    **options : Any
+        Options of the base class.
+    """
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(self, request_id: str = '', **options: Any) -> None:
         """Replace the connection factory of the base class."""
         super().__init__(**options)
-        factory: Any = partial(StrictResponseHandler, loop=self._loop)
+        factory: Any = partial(
+            StrictResponseHandler, request_id=request_id, loop=self._loop
+        )
         self._factory = factory
--- a/lycheespar/targets/shedding.py
+++ b/lycheespar/targets/shedding.py
@@ -20,6 +20,8 @@
 MISDIRECTED: Final = 421
 # Statuses with which a target refuses a request.
 _REFUSALS: Final = frozenset((408, 429, UNAVAILABLE))
+# All statuses that may say that a request was not run.
+NOT_RUN_STATUSES: Final = _REFUSALS | {MISDIRECTED}
 
 
 def refusal_error(
--- a/lycheespar/tests/targets/client_tests.py
+++ b/lycheespar/tests/targets/client_tests.py
@@ -246,3 +246,36 @@
     assert (await task).status == 200
     await retiring
     await wait_until(lambda: not target.open)
+
+
+_WHOLE_HEADS = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: a\r\nContent-Length: 12\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+    b'HTTP/1.0 200 OK\r\nServer: a\r\n\r\n',
+    b'HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n',
+    b'HTTP/1.1 200 OK\nContent-Length: 0\n\n',
+    b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n\r\n',
+)
+
+
+@pytest.mark.parametrize('kept', [False, True])
+@pytest.mark.parametrize('whole_head', _WHOLE_HEADS)
+async def test_a_head_that_breaks_off_is_no_answer(connect, whole_head, kept):
+    cuts = iter(range(len(whole_head)))
+
+    async def script(writer: asyncio.StreamWriter, head: bytes) -> None:
+        if kept and b'/first' in head:
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+            return
+        cut = next(cuts)
+        writer.write(whole_head[: cut // 2])
+        await asyncio.sleep(0)
+        writer.write(whole_head[cut // 2 : cut])
+        writer.close()
+
+    _, client = await connect(script)
+    for _ in whole_head:
+        if kept:
+            await client.send(make_call(path='/first'), Load())
+        with pytest.raises(TargetLostError):
+            await client.send(make_call(), Load())
--- a/lycheespar/tests/targets/identity_tests.py
+++ b/lycheespar/tests/targets/identity_tests.py
@@ -75,6 +75,55 @@
     await client.close()
 
 
+def _refusal(head: bytes = b'') -> bytes:
+    """Return a refusal, with the id of the request in a given head."""
+    lines = head.decode().split('\r\n')
+    ids = [line for line in lines if line.lower().startswith('x-caller-ref')]
+    named = ''.join(f'{line}\r\n' for line in ids)
+    return (
+        f'HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n{named}Content-Length: 0\r\n\r\n'
+    ).encode()
+
+
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+async def test_a_copy_of_a_refusal_is_not_read_as_the_next_answer(status):
+    """Targets with this profile do not name the request in an answer."""
+    refusal = _refusal().replace(b'503', str(status).encode())
+    refused = []
+
+    async def script(writer, head):
+        if not refused:
+            refused.append(writer)
+            writer.write(refusal)
+        elif writer in refused:
+            writer.write(refusal)
+        else:
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+        await writer.drain()
+
+    target = ScriptedTarget(script)
+    await target.start()
+    client = TargetClient(Announcement('one', 'a', 'b', target.address))
+    assert (await client.send(make_call(), Load())).status == status
+    assert (await client.send(make_call(), Load())).status == 200
+    await client.close()
+
+
+async def test_a_copy_of_a_refusal_is_no_promise_for_the_next_request():
+    heads = []
+
+    async def script(writer, head):
+        heads.append(head)
+        writer.write(_refusal(heads[0]))
+        await writer.drain()
+
+    _, client = await _connect(script)
+    assert (await client.send(_call('a'), Load())).status == 503
+    with pytest.raises(TargetLostError):
+        await client.send(_call('b'), Load())
+    await client.close()
+
+
 async def test_target_receives_its_own_name_and_the_remaining_time():
     async def script(writer, head):
         writer.write(_answer_to(head))
