--- a/lycheespar/tests/control/following/soak_tests.py
+++ b/lycheespar/tests/control/following/soak_tests.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import os
 import random
 import socket
 from collections.abc import Callable
@@ -43,6 +45,8 @@
 LIMIT_S = 5
 POLL_S = 0.01
 
+_numbers = itertools.cycle(range(1, 255))
+
 
 class Fleet:
     """Control hosts that share their changes, and a node that follows."""
@@ -181,9 +185,11 @@
 
 
 def _free_address() -> Address:
+    """Return an address with an IP number that clients do not send from."""
+    host = f'127.{random.randint(64, 126)}.{os.getpid() % 256}.{next(_numbers)}'
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return Address('127.0.0.1', probe.getsockname()[1])
+        probe.bind((host, 0))
+        return Address(host, probe.getsockname()[1])
 
 
 async def _run(seed: int) -> None:
