Follower: time for replies grows only while all control hosts are silent

Found by reading: the time for a reply doubled after each round without success, also when hosts had refused at once, so that one silent host could cost 8 s afterwards, more than a change may take. It grows to 4 s at most, only after a round in which every host was silent, and a round does not begin with the host that was asked last.

Test that failed before, for 7 of 20 nodes: test_a_silent_host_costs_no_more_time_after_others_have_refused.

--- a/lycheespar/control/following/configuration_follower.py
+++ b/lycheespar/control/following/configuration_follower.py
@@ -36,9 +36,9 @@
 MIN_WAIT_S: Final = 1
 MAX_WAIT_S: Final = 8
 # Bounds of the time for the reply after the long-poll time, in seconds. It
-# doubles when no control host has replied, as a large reply may take longer.
+# doubles when all control hosts were silent, as a large reply may take longer.
 REPLY_MARGIN_S: Final = 1
-MAX_REPLY_MARGIN_S: Final = 8
+MAX_REPLY_MARGIN_S: Final = 4
 # Seconds without a confirmation of the configuration after which a pull is
 # abandoned and the next one is sent without long polling.
 URGENT_AGE_S: Final = 2
@@ -109,6 +109,7 @@
     """
 
     __slots__ = (
+        '_all_silent',
         '_failures',
         '_links',
         '_margin_s',
@@ -141,6 +142,8 @@
         self._pause_s: float = MIN_PAUSE_S
         self._newer_revision_known = asyncio.Event()
         self._tried: list[NodeLink] = []
+        # Whether no control host has replied in this round.
+        self._all_silent = True
         self._failures = 0
         self._margin_s: float = REPLY_MARGIN_S
         self._replied_at = view.now()
@@ -188,9 +191,12 @@
             return None
         untried = [link for link in connected if link not in self._tried]
         if not untried:
-            self._tried.clear()
-            self._margin_s = min(self._margin_s * 2, MAX_REPLY_MARGIN_S)
-            untried = connected
+            # The last one is not asked twice in a row if there are others.
+            self._tried = self._tried[-1:]
+            self._adapt_margin()
+            untried = [
+                link for link in connected if link not in self._tried
+            ] or connected
         link = self._random.choice(untried)
         self._tried.append(link)
         return link
@@ -260,6 +266,7 @@
             case PullReply():
                 return _unpack(reply)
             case Failure(code):
+                self._all_silent = False
                 return code
             case _:
                 return _UNEXPECTED
@@ -278,6 +285,7 @@
 
     def _report_reply(self, link: NodeLink) -> None:
         self._replied_at = self._view.now()
+        self._all_silent = False
         self._margin_s = REPLY_MARGIN_S
         if self._failures:
             events.write(
@@ -309,6 +317,14 @@
         view = self._view
         return view.is_behind or view.age_s > URGENT_AGE_S
 
+    def _adapt_margin(self) -> None:
+        """Allow more time after a round in which all hosts were silent."""
+        if self._all_silent:
+            self._margin_s = min(self._margin_s * 2, MAX_REPLY_MARGIN_S)
+        else:
+            self._margin_s = REPLY_MARGIN_S
+        self._all_silent = True
+
     def _adapt_wait(self) -> None:
         """Poll longer while gossip confirms the configuration, else shorter."""
         if self._view.age_s < URGENT_AGE_S / 2:
--- a/lycheespar/tests/control/following/configuration_follower_tests.py
+++ b/lycheespar/tests/control/following/configuration_follower_tests.py
@@ -188,6 +188,24 @@
     run_virtual(scenario)
 
 
+@pytest.mark.parametrize('node', [f'node-{number}' for number in range(20)])
+def test_a_silent_host_costs_no_more_time_after_others_have_refused(node):
+    async def scenario(loop: VirtualLoop) -> None:
+        setup = FollowerSetup(node=node)
+        await until(setup.is_fresh, 2)
+        for host in setup.hosts:
+            host.refusing = True
+        await asyncio.sleep(30)
+        for host in setup.hosts:
+            host.refusing = False
+        setup.hosts[0].silent = True
+        setup.group.accept('a')
+        setup.view.accept_stamp(setup.hosts[1]._stamp())
+        await until(setup.is_fresh, 2)
+
+    run_virtual(scenario)
+
+
 def test_a_node_on_a_slow_link_gets_a_large_reply():
     async def scenario(loop: VirtualLoop) -> None:
         setup = FollowerSetup()
