--- a/lycheespar/ingress/call_builder.py
+++ b/lycheespar/ingress/call_builder.py
@@ -31,6 +31,8 @@
 from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 
 IDEMPOTENCY_KEY: Final = 'Idempotency-Key'
+# A deadline with more digits is longer than the limit of any route.
+MAX_DEADLINE_DIGITS: Final = 15
 TRACEPARENT: Final = 'traceparent'
 MS_PER_S: Final = 1000
 # Methods that are both safe and idempotent by definition (RFC 9110, sections
@@ -324,7 +326,8 @@
                     f'{self._profile.deadline} must be a whole number of '
                     'milliseconds',
                 )
-            budget_ms = min(int(header_text), limit_ms)
+            if len(header_text) <= MAX_DEADLINE_DIGITS:
+                budget_ms = min(int(header_text), limit_ms)
         return request.read_at + budget_ms / MS_PER_S
 
     def _target_headers(
--- a/lycheespar/targets/shedding.py
+++ b/lycheespar/targets/shedding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 from lycheespar.call import Answer, Call
@@ -16,6 +17,8 @@
 
 RETRY_AFTER: Final = 'retry-after'
 DEFAULT_RETRY_AFTER_S: Final = 1
+# Longest time that a target's refusal may name: a day.
+MAX_RETRY_AFTER_S: Final = 86_400
 UNAVAILABLE: Final = 503
 MISDIRECTED: Final = 421
 # Statuses with which a target refuses a request.
@@ -60,6 +63,9 @@
 def _parse_retry_after(text: str) -> float:
     """Parse ``Retry-After``; return the default for dates and invalid text."""
     try:
-        return max(float(text), 0)
+        seconds = float(text)
     except ValueError:
         return DEFAULT_RETRY_AFTER_S
+    if not math.isfinite(seconds):
+        return DEFAULT_RETRY_AFTER_S
+    return min(max(seconds, 0), MAX_RETRY_AFTER_S)
--- a/lycheespar/tests/ingress/server_tests.py
+++ b/lycheespar/tests/ingress/server_tests.py
@@ -137,6 +137,15 @@
     assert call.deadline - asyncio.get_running_loop().time() < 0.15
 
 
+@pytest.mark.parametrize('digits', [20, 5000])
+async def test_a_deadline_with_many_digits_is_that_of_the_route(
+    ingress, digits
+):
+    headers = f'X-Deadline-Ms: {"9" * digits}\r\n'
+    await ingress.exchange(_request(headers=headers))
+    assert len(ingress.dispatch.calls) == 1
+
+
 async def test_request_class_header_is_ignored_without_a_call_depth(ingress):
     await ingress.exchange(_request(headers='X-Request-Class: urgent\r\n'))
     assert ingress.dispatch.calls[0].request_class == 'default'
--- a/lycheespar/tests/targets/shedding_tests.py
+++ b/lycheespar/tests/targets/shedding_tests.py
@@ -61,3 +61,12 @@
 @pytest.mark.parametrize('status', [200, 404, 500, 504])
 async def test_other_answers_are_passed_on(status):
     assert refusal_error(make_call(), _answer(status), PROFILE) is None
+
+
+@pytest.mark.parametrize(
+    'text', ['inf', 'nan', '1e400', '1e300', '9' * 400, '-5']
+)
+async def test_an_odd_time_to_return_is_told_as_a_usual_one(text):
+    answer = _answer(503, ('x-was-not-run', '1'), ('retry-after', text))
+    refusal = refusal_error(make_call(), answer, PROFILE)
+    assert 0 <= refusal.retry_after_s <= 86_400
