--- a/lycheespar/tests/control/api/odd_commands_tests.py
+++ b/lycheespar/tests/control/api/odd_commands_tests.py
@@ -8,8 +8,7 @@
 
 from lycheespar.control.api.api import decode_command
 from lycheespar.errors import ChangeInvalidError
-
-DEEP = '[' * 100_000 + ']' * 100_000
+from lycheespar.tests.odd_values import BEYOND_64_BITS, DEEP
 
 
 def _command(**changes):
@@ -31,8 +30,8 @@
     [
         DEEP.encode(),
         _command(other='DEEP'),
-        _command(base_revision=2**70),
-        _command(base_revision=-(2**70)),
+        _command(base_revision=BEYOND_64_BITS),
+        _command(base_revision=-BEYOND_64_BITS),
     ],
 )
 def test_an_odd_command_is_an_invalid_change(body):
--- a/lycheespar/tests/control/following/closed_links_tests.py
+++ b/lycheespar/tests/control/following/closed_links_tests.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
@@ -27,18 +26,13 @@
     PullReply,
 )
 from lycheespar.settings.options import Address
+from standins.cluster import OWN_HOST, free_port
 
 Link = ControlLink[ControlRequest, ControlReply]
 
 LIMIT_S = 10
 
 
-def _free_address() -> Address:
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return Address('127.0.0.1', probe.getsockname()[1])
-
-
 async def _reply_with_one_change(_: ControlRequest) -> ControlReply:
     return PullReply(Stamp(1, 1, 1), (TakeOutDataCentre('a'),), base_revision=0)
 
@@ -69,7 +63,7 @@
         server: LinkServer[ControlRequest, ControlReply] = LinkServer(
             self._context, ControlRequest, reply
         )
-        address = _free_address()
+        address = Address(OWN_HOST, free_port(OWN_HOST))
         await server.start(address)
         self._servers.append(server)
         link: Link = ControlLink(self._context, address, ControlReply)
@@ -133,7 +127,9 @@
 
 async def test_a_request_that_waits_on_a_closed_link_gets_an_error():
     context = zmq.asyncio.Context()
-    link: Link = ControlLink(context, _free_address(), ControlReply)
+    link: Link = ControlLink(
+        context, Address(OWN_HOST, free_port(OWN_HOST)), ControlReply
+    )
     request = asyncio.create_task(link.ask(Pull('node-1', 0, 0), LIMIT_S))
     while not link._pending:
         await asyncio.sleep(0)
@@ -147,7 +143,9 @@
 
 async def test_a_request_that_its_caller_cancels_stays_cancelled():
     context = zmq.asyncio.Context()
-    link: Link = ControlLink(context, _free_address(), ControlReply)
+    link: Link = ControlLink(
+        context, Address(OWN_HOST, free_port(OWN_HOST)), ControlReply
+    )
     request = asyncio.create_task(link.ask(Pull('node-1', 0, 0), LIMIT_S))
     while not link._pending:
         await asyncio.sleep(0)
--- a/lycheespar/tests/control/following/soak_tests.py
+++ b/lycheespar/tests/control/following/soak_tests.py
@@ -8,10 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
-import os
 import random
-import socket
 from collections.abc import Callable
 
 import pytest
@@ -35,6 +32,7 @@
 from lycheespar.membership.records import Liveness, MemberRecord
 from lycheespar.membership.view import MembershipView
 from lycheespar.settings.options import Address
+from standins.cluster import OWN_HOST, free_port
 
 HOSTS = 5
 # Control hosts that the settings of the node name.
@@ -45,8 +43,6 @@
 LIMIT_S = 5
 POLL_S = 0.01
 
-_numbers = itertools.cycle(range(1, 255))
-
 
 class Fleet:
     """Control hosts that share their changes, and a node that follows."""
@@ -55,7 +51,10 @@
         self.random = random.Random(seed)
         self.context = zmq.asyncio.Context()
         self.changes: list[TakeOutDataCentre] = []
-        self.hosts = [Host(self, _free_address()) for _ in range(HOSTS)]
+        self.hosts = [
+            Host(self, Address(OWN_HOST, free_port(OWN_HOST)))
+            for _ in range(HOSTS)
+        ]
         self.members = MembershipView()
         self.view = ConfigurationView(Configuration())
         self._directory = ControlDirectory(
@@ -184,14 +183,6 @@
         )
 
 
-def _free_address() -> Address:
-    """Return an address with an IP number that clients do not send from."""
-    host = f'127.{random.randint(64, 126)}.{os.getpid() % 256}.{next(_numbers)}'
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return Address(host, probe.getsockname()[1])
-
-
 async def _run(seed: int) -> None:
     fleet = Fleet(seed)
     await fleet.start()
--- a/lycheespar/tests/platform/odd_documents_tests.py
+++ b/lycheespar/tests/platform/odd_documents_tests.py
@@ -12,12 +12,10 @@
 from lycheespar.errors import ChangeInvalidError, SettingsError
 from lycheespar.platform.documents import decode_put, encode_plan
 from lycheespar.platform.settings import load_settings
+from lycheespar.tests.odd_values import BEYOND_64_BITS, DEEP, MANY_DIGITS
 from lycheespar.tests.platform.documents_tests import route, service
 
-DEEP = '[' * 100_000 + ']' * 100_000
 NESTED = '[' * 900 + ']' * 900
-BEYOND_64_BITS = 2**70
-MANY_DIGITS = '9' * 5000
 
 LIMITS = {
     'resource_type': 'limits',
--- a/lycheespar/tests/targets/odd_entries_tests.py
+++ b/lycheespar/tests/targets/odd_entries_tests.py
@@ -18,10 +18,8 @@
 from lycheespar.targets.announcement import LocalTarget
 from lycheespar.targets.api import AnnouncementApi
 from lycheespar.targets.load import LoadReport, decode_body, decode_headers
+from lycheespar.tests.odd_values import BEYOND_64_BITS, DEEP, MANY_DIGITS
 
-DEEP = '[' * 100_000 + ']' * 100_000
-BEYOND_64_BITS = 2**70
-MANY_DIGITS = '9' * 5000
 LONG_NAME = 'n' * 100_000
 
 HEARTBEAT = {
