Review, case 5: the upstream exits with requests at work

The upstream served for so long that some runs lost no request. It now exits 6.5 s after its deregistration, and a request takes 0.6 s.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,8 +12,8 @@
 DRAIN_TIMEOUT_S = 2.0
 CONTACT_S = 3.0
 # The upstream goes on serving for so long after its acknowledgement.
-SERVES_S = 8.0
-WORK_S = 0.25
+SERVES_S = 6.5
+WORK_S = 0.6
 
 
 async def case(site):
