--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,7 +17,7 @@
 async def case(site):
     await site.begin([route('r-0000'), service(), LIMITS])
     platform = Platform(site)
-    newest = await send_configurations(site, CHANGES, ROUTES, 65)
+    newest = await send_configurations(site, CHANGES, ROUTES, 75)
     await asyncio.sleep(RECOVERY_S)
     read = await read_version(site, 10)
     platform.stop()
--- a/review/harness.py
+++ b/review/harness.py
@@ -700,6 +700,11 @@
     record = Record(folder / 'record.txt')
 
     async def run() -> int:
+        task = asyncio.current_task()
+        # An end of the script also ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         site = Site(record)
         try:
             async with asyncio.timeout(112):
@@ -709,7 +714,7 @@
 
     try:
         verdict = asyncio.run(run())
-    except (CannotRunError, TimeoutError) as error:
+    except (CannotRunError, TimeoutError, asyncio.CancelledError) as error:
         record.write('the case could not run', why=repr(error))
         verdict = NOT_RUN
     except Exception as error:
