Review, cases 2 and 3: the cause that the logs show, and the history

After the kill of all processes, the nodes got no configuration because no leader lasted, not because they could not unpack it: a follower that has restarted is sent the log from its last change of the voters, in messages of up to 64 entries, and its replies come too late. This is also the cause of the case with two lost disks, which gives way. Case 3 is the history that takes control hosts over their memory again.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 from harness import *
 
 ROUTES = 1416
-CHANGES = 140
+CHANGES = 100
 DOWN_S = 0.9
 RECOVERY_S = 15
 
@@ -27,6 +27,7 @@
     await site.order(
         'config.put', document(newest + 1, newest, ROUTES), 4 + 0.003 * ROUTES
     )
+    newest += 1
     if TROUBLE:
         for machine in site.machines:
             machine.kill()
@@ -36,17 +37,20 @@
                 machine.start()
     await asyncio.sleep(RECOVERY_S)
     after = await served_share(site)
+    read = await read_version(site, 10)
     platform.stop()
     record.write(
         'result',
         served_before=before,
         served_after_recovery=after,
+        newest_acknowledged=newest,
+        read_back=read,
         peaks_mb=platform.peaks_mb,
         kills_over_memory=platform.kills,
     )
     if before < 0.25:
         return NOT_RUN
-    return BROKEN if after < 0.25 else HELD
+    return BROKEN if after < 0.25 or read != newest else HELD
 
 
 async def served_share(site):
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,5 @@
 # flake8: noqa
-"""A machine of the core loses its disk and, long after, another one does."""
+"""The operator sends many complete configurations with many routes."""
 
 import asyncio
 import sys
@@ -9,46 +9,32 @@
 
 from harness import *
 
-ROUTES = 1416
-CHANGES = 100
-DOWN_S = 0.7
-# `catch_up` is 4 s.
-BETWEEN_S = 20
+ROUTES = 1416 if TROUBLE else 13
+CHANGES = 260
 RECOVERY_S = 15
 
 
-async def lose_disk(machine):
-    machine.kill()
-    machine.lose_disk()
-    await asyncio.sleep(DOWN_S)
-    if not machine.running:
-        machine.start()
-
-
 async def case(site):
     await site.begin([route('r-0000'), service(), LIMITS])
     platform = Platform(site)
-    newest = await send_configurations(site, CHANGES, ROUTES)
-    await asyncio.sleep(3)
-    if TROUBLE:
-        await lose_disk(site.controls[0])
-    await asyncio.sleep(BETWEEN_S)
-    between = await read_version(site, 5)
-    site.record.write('between', read=between, kills=platform.kills)
-    if TROUBLE:
-        await lose_disk(site.controls[1])
+    newest = await send_configurations(site, CHANGES, ROUTES, 75)
     await asyncio.sleep(RECOVERY_S)
-    read = await read_version(site, 15)
+    read = await read_version(site, 10)
     platform.stop()
+    ended = [
+        machine.name
+        for machine in site.controls
+        if platform.kills[machine.name] >= 3
+    ]
     site.record.write(
         'result',
         newest_acknowledged=newest,
-        read_between=between,
         read_back=read,
         peaks_mb=platform.peaks_mb,
         kills_over_memory=platform.kills,
     )
-    return BROKEN if read is None or read < newest else HELD
+    lost = read is None or read < newest
+    return BROKEN if lost or 2 * len(ended) >= len(site.controls) else HELD
 
 
 if __name__ == '__main__':
