Control: measure a host's silence from when the leader knows it

Callers and operators saw: a control host that replaced another one never became a voter.

Cause: a leader forgets a host that does not vote after 30 s of silence, and counted the silence of a host that never replied from the start of the leadership. From then on, each discovered host was forgotten before the first message. A host that had been removed, forgotten and came back fared alike.

Both tests failed before: test_host_can_join_a_group_with_a_leader_of_long_standing and test_host_that_was_forgotten_can_join_again.

The progress of a host now tells since when the leader replicates to it, so that 30 s pass after the discovery in each case.

--- a/lycheespar/control/agreement/follower_progress.py
+++ b/lycheespar/control/agreement/follower_progress.py
@@ -24,6 +24,8 @@
         Name of the control host.
     next_index : int
         Index of the next entry to send.
+    known_since : float
+        Time at which replication to the host began.
 
     Attributes
     ----------
@@ -42,14 +44,16 @@
         'disk',
         'has_free_space',
         'host',
+        'known_since',
         'matched',
         'next_index',
     )
 
-    def __init__(self, host: str, next_index: int) -> None:
+    def __init__(self, host: str, next_index: int, known_since: float) -> None:
         """Create the progress of a host that has not replied yet."""
         self.host = host
         self.next_index = next_index
+        self.known_since = known_since
         self.matched = 0
         self.disk = ''
         self.acknowledged_at = NEVER
--- a/lycheespar/control/agreement/leadership.py
+++ b/lycheespar/control/agreement/leadership.py
@@ -213,9 +213,12 @@
 
     def _start_replication(self) -> None:
         """Start to replicate to each known host that has no task yet."""
+        now = asyncio.get_running_loop().time()
         for host in self._roster.others:
             if host not in self._followers:
-                follower = FollowerProgress(host, self._replica.last.index + 1)
+                follower = FollowerProgress(
+                    host, self._replica.last.index + 1, now
+                )
                 self._followers[host] = follower
                 self._tasks[host] = asyncio.create_task(
                     self._run_replication(follower)
--- a/lycheespar/control/agreement/voter_manager.py
+++ b/lycheespar/control/agreement/voter_manager.py
@@ -147,7 +147,11 @@
         )
 
     def _silence_s(self, follower: FollowerProgress | None) -> float:
+        """Return for how long a host has not replied, in seconds.
+
+        A host that has never replied is silent since this leader knows it.
+        """
         now = asyncio.get_running_loop().time()
         if follower is None:
             return now - self._created_at
-        return now - max(follower.acknowledged_at, self._created_at)
+        return now - max(follower.acknowledged_at, follower.known_since)
--- a/lycheespar/tests/control/agreement/joining_tests.py
+++ b/lycheespar/tests/control/agreement/joining_tests.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lycheespar.control.agreement.voter_manager import FORGET_AFTER_S
 from lycheespar.tests.control.agreement.groups import (
     REPLACING,
     TIMING,
@@ -106,3 +107,33 @@
     groups = {host.group.state.group for host in hosts.all}
     assert len(groups) == 1
     assert lost.group.state.revision == 1
+
+
+async def test_host_can_join_a_group_with_a_leader_of_long_standing(hosts):
+    """A leader must not forget a new host before it has sent it anything."""
+    hosts.start()
+    await hosts.wait_until_settled()
+    leader = hosts.leader
+    await asyncio.sleep(FORGET_AFTER_S + 1)
+    lost = next(host for host in hosts.all if host is not leader)
+    hosts.all.remove(lost)
+    lost.crash()
+    successor = hosts.add('control-9', [host.name for host in hosts.all])
+    await until(lambda: successor.is_voter)
+    assert hosts.leader is leader
+    await accept(hosts, 'after')
+
+
+async def test_host_that_was_forgotten_can_join_again(hosts):
+    """A leader must not measure a host's silence from an earlier contact."""
+    hosts.start()
+    await hosts.wait_until_settled()
+    returning = hosts.add('control-9', ['control-0'])
+    await until(lambda: len(voters(hosts)) == 4)
+    returning.crash()
+    await until(lambda: returning.name not in voters(hosts))
+    await asyncio.sleep(FORGET_AFTER_S + 1)
+    leader = hosts.leader
+    returning.start()
+    await until(lambda: returning.is_voter)
+    assert hosts.leader is leader
