Control: send entries beside heartbeats, and only what a host lacks

Operators and callers saw: after 101 complete configurations with 1,416 routes and a restart of all processes, no leader lasted. Beside such a log, a lost disk was never replaced, so the next lost disk left no quorum.

Cause: a follower whose log did not match named its committed index, which after a restart is that of the last change of the voters. The leader sent the log from there, up to 64 entries in a message whatever their size, awaited the reply for 0.24 s, sent the same again and ignored late replies. Meanwhile nothing confirmed its leadership.

Heartbeats carry no entries now. They find where the logs agree and confirm the leadership; entries are sent beside them, one message at a time, bounded by bytes and without a time-out. As a link keeps the order of messages, a message is lost if a later heartbeat was answered and it was not. A follower's hint takes its uncommitted entries into account.

--- a/lycheespar/control/agreement/follower_progress.py
+++ b/lycheespar/control/agreement/follower_progress.py
@@ -1,18 +1,9 @@
-"""Replication progress of the other control hosts, and what to send them."""
+"""Replication progress of the other control hosts, as the leader knows it."""
 
 from __future__ import annotations
 
-from typing import Final
-
-from lycheespar.control.agreement.peer_messages import (
-    Append,
-    Install,
-    LogPosition,
-)
+from lycheespar.control.agreement.peer_messages import AppendReply
 from lycheespar.control.agreement.quorum import NEVER, Voter
-from lycheespar.control.agreement.replica import Replica
-
-ENTRIES_PER_MESSAGE: Final = 64
 
 
 class FollowerProgress:
@@ -31,6 +22,9 @@
     ----------
     matched : int
         Index up to which the host has synced the leader's log.
+    agrees : bool
+        Whether the host's log is known to agree with the leader's before
+        `next_index`.
     disk : str
         Id of the host's disk; empty before its first reply.
     acknowledged_at : float
@@ -41,6 +35,7 @@
 
     __slots__ = (
         'acknowledged_at',
+        'agrees',
         'disk',
         'has_free_space',
         'host',
@@ -55,6 +50,7 @@
         self.next_index = next_index
         self.known_since = known_since
         self.matched = 0
+        self.agrees = False
         self.disk = ''
         self.acknowledged_at = NEVER
         self.has_free_space = False
@@ -64,27 +60,21 @@
         """Name and disk id by which the host votes."""
         return self.host, self.disk
 
+    def update(self, reply: AppendReply, sent_at: float) -> None:
+        """Apply the reply to a message that was sent at a given time.
 
-def next_message(
-    follower: FollowerProgress,
-    replica: Replica,
-    term: int,
-) -> Append | Install:
-    """Return the next message of the leader to a host.
-
-    The whole state is sent if the log no longer has the preceding entry.
-    """
-    previous = follower.next_index - 1
-    previous_term = replica.log.term_at(previous)
-    if previous_term is None:
-        state = replica.snapshot()
-        return Install(state.group, term, replica.name, state)
-    entries = replica.log.entries(follower.next_index, ENTRIES_PER_MESSAGE)
-    return Append(
-        replica.state.group,
-        term,
-        replica.name,
-        LogPosition(previous, previous_term),
-        tuple(entries),
-        replica.state.index,
-    )
+        Replies may arrive in another order than their requests were sent. A
+        disk keeps the entries that it has acknowledged, so a reply that was
+        overtaken by another one of the same disk takes nothing back.
+        """
+        if reply.disk != self.disk and sent_at < self.acknowledged_at:
+            return
+        reached = reply.index
+        if reply.matched and self.agrees and reply.disk == self.disk:
+            reached = max(self.matched, reply.index)
+        self.matched = reached if reply.matched else 0
+        self.next_index = reached + 1
+        self.agrees = reply.matched
+        self.disk = reply.disk
+        self.has_free_space = reply.room
+        self.acknowledged_at = max(self.acknowledged_at, sent_at)
--- a/lycheespar/control/agreement/leader_messages.py
+++ b/lycheespar/control/agreement/leader_messages.py
@@ -11,6 +11,7 @@
     Append,
     AppendReply,
     Install,
+    LogPosition,
 )
 from lycheespar.control.agreement.replica import Replica, Role
 from lycheespar.control.state.entries import LogEntry
@@ -47,7 +48,7 @@
         if previous.index > replica.state.index and (
             replica.log.term_at(previous.index) != previous.term
         ):
-            return self._reply(replica.state.index, matched=False)
+            return self._reply(self._agreement_hint(previous), matched=False)
         appended = len(request.entries)
         try:
             self._merge(request.entries)
@@ -56,6 +57,7 @@
             appended = 0
         index = max(previous.index + appended, replica.state.index)
         replica.commit(min(request.committed, index))
+        self._restart_election_timer()
         return self._reply(index, matched=True)
 
     def handle_install(self, request: Install) -> AppendReply:
@@ -65,6 +67,7 @@
             return self._reply(0, matched=False)
         if request.state.index > replica.state.index:
             replica.replace_state(request.state)
+        self._restart_election_timer()
         return self._reply(replica.state.index, matched=True)
 
     def _accept_leader(self, request: Append | Install) -> bool:
@@ -82,9 +85,31 @@
             log.info("Following '{}' in term {}.", request.leader, request.term)
         replica.role = Role.follower
         replica.leader = request.leader
-        replica.election_timer_started_at = asyncio.get_running_loop().time()
+        self._restart_election_timer()
         return True
 
+    def _restart_election_timer(self) -> None:
+        """Count the leader's silence from now, not from before a slow sync."""
+        self._replica.election_timer_started_at = (
+            asyncio.get_running_loop().time()
+        )
+
+    def _agreement_hint(self, previous: LogPosition) -> int:
+        """Return an index up to which the logs may agree.
+
+        That is the last entry if the log here is shorter, or else the entry
+        before those of the term that differs. Committed entries always agree.
+        """
+        replica = self._replica
+        index = min(previous.index - 1, replica.last.index)
+        differing = replica.log.term_at(previous.index)
+        if differing is not None:
+            while index > replica.state.index and (
+                replica.log.term_at(index) == differing
+            ):
+                index -= 1
+        return max(index, replica.state.index)
+
     def _merge(self, entries: Sequence[LogEntry]) -> None:
         """Append missing entries and replace uncommitted ones that differ."""
         replica = self._replica
--- a/lycheespar/control/agreement/leadership.py
+++ b/lycheespar/control/agreement/leadership.py
@@ -10,10 +10,7 @@
 
 from lycheespar.configuration.changes import Command
 from lycheespar.configuration.stamp import Stamp
-from lycheespar.control.agreement.follower_progress import (
-    FollowerProgress,
-    next_message,
-)
+from lycheespar.control.agreement.follower_progress import FollowerProgress
 from lycheespar.control.agreement.notifier import Notifier
 from lycheespar.control.agreement.peer_messages import AppendReply, PeerReply
 from lycheespar.control.agreement.peers import Peers, Timing
@@ -24,9 +21,9 @@
     quorum_value,
 )
 from lycheespar.control.agreement.replica import Replica, Role
+from lycheespar.control.agreement.replication import Replication
 from lycheespar.control.agreement.roster import Roster
 from lycheespar.control.agreement.voter_manager import VoterManager
-from lycheespar.control.link import LinkClosedError, LinkTimeoutError
 from lycheespar.control.state.entries import (
     BeginTerm,
     Content,
@@ -226,12 +223,25 @@
 
     async def _run_replication(self, follower: FollowerProgress) -> None:
         """Replicate to a host until this term ends or the host is forgotten."""
+        replication = Replication(
+            follower,
+            self._replica,
+            self._peers,
+            self._timing,
+            self._send_requested,
+            self._handle_reply,
+        )
         try:
-            await self._replicate(follower)
+            await replication.run(lambda: self._keeps_sending_to(follower))
         finally:
             self._followers.pop(follower.host, None)
             self._tasks.pop(follower.host, None)
 
+    def _keeps_sending_to(self, follower: FollowerProgress) -> bool:
+        if not self.leading:
+            return False
+        return not self._voter_manager.forget_if_silent(follower)
+
     def _step_down_if_quorum_has_space(self) -> None:
         """Step down if a quorum of the other hosts has free disk space.
 
@@ -262,62 +272,24 @@
         self._commit()
         self._send_requested.notify()
 
-    async def _replicate(self, follower: FollowerProgress) -> None:
-        """Send entries or heartbeats to one other control host."""
-        loop = asyncio.get_running_loop()
-        while self.leading and not self._voter_manager.forget_if_silent(
-            follower
-        ):
-            sent_at = loop.time()
-            request = next_message(follower, self._replica, self._term)
-            try:
-                reply = await self._peers.ask(
-                    follower.host,
-                    request,
-                    self._timing.reply_timeout_s,
-                )
-            except LinkTimeoutError:
-                continue
-            except LinkClosedError:
-                return
-            progressed = self.leading and self._handle_reply(
-                follower, reply, sent_at
-            )
-            if not progressed or follower.next_index > self._replica.last.index:
-                await self._wait_until_send_due()
-
     def _handle_reply(
         self,
         follower: FollowerProgress,
         reply: PeerReply,
         sent_at: float,
-    ) -> bool:
-        """Apply a reply; return whether the next index has changed.
-
-        If it has not, sending at once would only repeat the last message.
-        """
-        before = follower.next_index
+    ) -> None:
+        """Apply a reply, unless this host no longer leads."""
+        if not self.leading:
+            return
         match reply:
             case AppendReply(term) if term > self._term:
                 self._replica.adopt_term(term)
-            case AppendReply(_, matched, index, disk, room):
-                follower.disk = disk
-                follower.has_free_space = room
-                follower.acknowledged_at = sent_at
-                follower.next_index = index + 1
-                follower.matched = index if matched else 0
+            case AppendReply():
+                follower.update(reply, sent_at)
                 self._commit()
                 if self.ready:
                     self._append(self._voter_manager.admission_change(follower))
                 self.confirmed.notify()
-        return follower.next_index != before
-
-    async def _wait_until_send_due(self) -> None:
-        try:
-            async with asyncio.timeout(self._timing.heartbeat_s):
-                await self._send_requested.wait()
-        except TimeoutError:
-            return
 
     def _commit(self) -> None:
         """Commit the entries that a quorum has synced.
--- a/lycheespar/control/agreement/peer_messages.py
+++ b/lycheespar/control/agreement/peer_messages.py
@@ -182,8 +182,8 @@
         Whether the follower has the previous entry.
     index : int
         Index up to which the follower's log equals the leader's and is
-        synced to disk. If `matched` is false, the index after which the
-        leader sends entries next.
+        synced to disk. If `matched` is false, the index up to which the logs
+        may agree; the leader asks about that one next.
     disk : str
         Identifier of the follower's disk.
     room : bool
--- a/lycheespar/control/agreement/peers.py
+++ b/lycheespar/control/agreement/peers.py
@@ -50,9 +50,9 @@
         self,
         host: str,
         request: PeerRequest,
-        timeout_s: float,
+        timeout_s: float | None,
     ) -> PeerReply:
-        """Send a request and wait for its reply.
+        """Send a request and wait for its reply; for ever without a time-out.
 
         Raises
         ------
@@ -90,7 +90,7 @@
         self,
         host: str,
         request: PeerRequest,
-        timeout_s: float,
+        timeout_s: float | None,
     ) -> PeerReply:
         """Send a request and wait for its reply.
 
--- a/lycheespar/control/link.py
+++ b/lycheespar/control/link.py
@@ -114,15 +114,17 @@
             return False
         return bool(int(self._socket.get(zmq.EVENTS)) & zmq.POLLOUT)
 
-    async def ask(self, request: RequestType, timeout_s: float) -> ReplyType:
+    async def ask(
+        self, request: RequestType, timeout_s: float | None
+    ) -> ReplyType:
         """Send a request and wait for its reply.
 
         Parameters
         ----------
         request : RequestType
             The request.
-        timeout_s : float
-            Time-out in seconds.
+        timeout_s : float | None
+            Time-out in seconds; None for none.
 
         Raises
         ------
--- a/lycheespar/control/storage/journal.py
+++ b/lycheespar/control/storage/journal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import os
 from collections.abc import Iterable, Sequence
 from pathlib import Path
@@ -62,6 +63,19 @@
             log.warning("Removed a torn write at the end of '{}'.", path.name)
             self._truncate_file(self._end_offset)
 
+    def slice_within(
+        self, start: int, limit: int, max_bytes: int
+    ) -> list[LogEntry]:
+        """Return entries from a position on, up to a number and a size.
+
+        At least one entry is returned, if there is one.
+        """
+        first_byte = self._end_offsets[start - 1] if start else 0
+        stop = bisect.bisect_right(
+            self._end_offsets, first_byte + max_bytes, start
+        )
+        return self.entries[start : min(max(stop, start + 1), start + limit)]
+
     def append(self, entries: Sequence[LogEntry]) -> None:
         """Append entries and sync the file.
 
--- a/lycheespar/control/storage/storage.py
+++ b/lycheespar/control/storage/storage.py
@@ -149,6 +149,16 @@
         stop = None if limit is None else start + limit
         return self._journal.entries[start:stop]
 
+    def entries_within(
+        self, first: int, limit: int, max_bytes: int
+    ) -> list[LogEntry]:
+        """Return entries from an index on, up to a number and a stored size.
+
+        At least one entry is returned, if there is one.
+        """
+        start = first - self._base_index - 1
+        return self._journal.slice_within(start, limit, max_bytes)
+
     def append(self, entries: Sequence[LogEntry]) -> None:
         """Append and sync entries.
 
--- a/lycheespar/tests/control/agreement/groups.py
+++ b/lycheespar/tests/control/agreement/groups.py
@@ -8,6 +8,7 @@
 import os
 import random
 import shutil
+from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
@@ -49,6 +50,10 @@
         """Connect all hosts; redeliver `late_share` of the requests late."""
         self.hosts: dict[str, Group] = {}
         self.cuts: set[tuple[str, str]] = set()
+        # Bytes per second of each link, and until when each link is busy.
+        self.bytes_per_s = float('inf')
+        self._busy_until: dict[tuple[str, str], float] = {}
+        self.sent_bytes: Counter[tuple[str, str]] = Counter()
         self.rng = random.Random(seed)
         self._late_share = late_share
         self._redeliveries: set[asyncio.Task[Any]] = set()
@@ -62,11 +67,13 @@
         self, source: str, host: str, request: PeerRequest
     ) -> PeerReply:
         """Deliver a request and return its reply; wait for ever on loss."""
+        encoded_request = _encoder.encode(request)
         await asyncio.sleep(self.rng.uniform(0, MAX_DELAY_S))
+        await self._transmit(source, host, len(encoded_request))
         found = self.hosts.get(host)
         if found is None or (source, host) in self.cuts:
             await asyncio.Event().wait()
-        decoded_request = _requests.decode(_encoder.encode(request))
+        decoded_request = _requests.decode(encoded_request)
         try:
             reply: PeerReply = await found.handle(decoded_request)
         except ControlError as error:
@@ -75,6 +82,15 @@
             await asyncio.Event().wait()
         return _replies.decode(_encoder.encode(reply))
 
+    async def _transmit(self, source: str, host: str, size: int) -> None:
+        """Wait until a message has passed a link behind the earlier ones."""
+        now = asyncio.get_running_loop().time()
+        starts_at = max(now, self._busy_until.get((source, host), now))
+        ends_at = starts_at + size / self.bytes_per_s
+        self._busy_until[source, host] = ends_at
+        self.sent_bytes[source, host] += size
+        await asyncio.sleep(ends_at - now)
+
     def redeliver_randomly(
         self, source: str, host: str, request: PeerRequest
     ) -> None:
@@ -282,6 +298,11 @@
     return await leader.group.submit(command(change_id, base))
 
 
+def large_command(number: int, size: int) -> Command:
+    """Return a command of about that many bytes."""
+    return command(f'large-{number}', number, f'dc-{number}-{"x" * size}')
+
+
 def fill_disks(monkeypatch: pytest.MonkeyPatch, full: set[str]) -> None:
     """Make writes that need disk space fail at the named hosts."""
 
