Control: bound the history and the log in bytes

A node that started beside such a history exceeded its memory or could not unpack the reply.

Starting nodes got the history in place of the configuration as long as it was complete.

Nodes get the whole configuration where the changes cost more to send or to apply. So each part of the memory is bounded by a constant or by the size of one configuration.

--- a/lycheespar/control/agreement/replica.py
+++ b/lycheespar/control/agreement/replica.py
@@ -37,6 +37,10 @@
     StorageError,
 )
 
+# Size in bytes of the applied entries from which a snapshot replaces them, if
+# it is not larger itself.
+MAX_LOG_BYTES: Final = 4 * 1024 * 1024
+
 _STATE_DECODER: Final = msgspec.msgpack.Decoder(GroupState)
 _encoder = msgspec.msgpack.Encoder()
 
@@ -61,7 +65,7 @@
     storage : Storage
         Durable state in the data folder of this host.
     snapshot_every : int
-        Number of applied entries between two snapshots.
+        Largest number of applied entries between two snapshots.
 
     Attributes
     ----------
@@ -247,7 +251,11 @@
         self._storage.save_identity(replace(identity, voters_index=index))
 
     def _compact(self) -> None:
-        if self.state.index - self._storage.base_index < self._snapshot_every:
+        """Replace the applied entries by a snapshot if there are many."""
+        applied = self.state.index - self._storage.base_index
+        applied_bytes = self._storage.bytes_until(self.state.index)
+        limit_bytes = max(MAX_LOG_BYTES, self._storage.snapshot_bytes)
+        if applied < self._snapshot_every and applied_bytes < limit_bytes:
             return
         try:
             self._storage.compact(self.state)
--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -42,7 +42,7 @@
     ReportEvidence,
 )
 from lycheespar.control.packing import ReplyPacker
-from lycheespar.control.state.state import GroupState
+from lycheespar.control.pull_replies import ReplyBuilder
 from lycheespar.control.storage.storage import Storage
 from lycheespar.errors import ControlError, NotCurrentError
 from lycheespar.membership.records import Liveness, MemberRecord
@@ -116,6 +116,7 @@
         )
         self._progress = ProgressTracker()
         self._evidence = EvidenceTable()
+        self._replies = ReplyBuilder()
         self._packer = ReplyPacker()
         self._server: LinkServer[HostRequest, HostReply] = LinkServer(
             context,
@@ -251,25 +252,9 @@
                 request.revision,
                 state.revision,
             )
-        reply = self._build_reply(state, request.revision, held_ms)
+        reply = self._replies.build(
+            state, request.revision, self.group.stamp, held_ms
+        )
         if not request.accepts_packed:
             return reply
         return self._packer.pack(reply, state.revision)
-
-    def _build_reply(
-        self, state: GroupState, revision: int, held_ms: float
-    ) -> PullReply:
-        """Build the reply with what is newer than a revision."""
-        changes = state.changes_since(revision)
-        if changes is None:
-            return PullReply(
-                self.group.stamp,
-                configuration=state.configuration,
-                held_ms=held_ms,
-            )
-        return PullReply(
-            self.group.stamp,
-            changes,
-            held_ms=held_ms,
-            base_revision=revision,
-        )
--- a/lycheespar/control/state/state.py
+++ b/lycheespar/control/state/state.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from lycheespar.configuration.changes import (
-    Change,
     Command,
     apply,
     is_base_current,
@@ -28,8 +27,12 @@
 
 # Change ids whose outcome is stored; the oldest are evicted first.
 MAX_OUTCOMES: Final = 10_000
-# Accepted changes stored for the history and for nodes that lag behind.
+# Accepted changes stored for the history and for nodes that lag behind: their
+# number, and their size in bytes. The newest one is stored whatever its size.
 MAX_HISTORY: Final = 1000
+MAX_HISTORY_BYTES: Final = 1024 * 1024
+
+_encoder: Final = msgspec.msgpack.Encoder()
 
 
 class Accepted(msgspec.Struct, frozen=True, tag='accepted'):
@@ -62,10 +65,18 @@
         Revision that the command created.
     command : Command
         The command.
+    size : int
+        Encoded size of the command in bytes; 0 if an older version stored it.
     """
 
     revision: int
     command: Command
+    size: int = 0
+
+    @property
+    def size_bytes(self) -> int:
+        """Encoded size of the command in bytes."""
+        return self.size or len(_encoder.encode(self.command))
 
 
 class GroupState(msgspec.Struct):
@@ -138,16 +149,14 @@
             return Invalid(error.problems)
         return None
 
-    def changes_since(self, revision: int) -> tuple[Change, ...] | None:
+    def accepted_since(self, revision: int) -> list[AcceptedChange] | None:
         """Return the changes after a revision; None if some are evicted."""
         missing = self.revision - revision
         if missing <= 0:
-            return ()
+            return []
         if missing > len(self.history):
             return None
-        return tuple(
-            accepted.command.change for accepted in self.history[-missing:]
-        )
+        return self.history[-missing:]
 
     def _apply_command(self, command: Command) -> None:
         if command.change_id in self.outcomes:
@@ -163,11 +172,21 @@
             self.configuration = apply(self.configuration, command.change)
         except ChangeInvalidError as error:
             return Invalid(error.problems)
-        self.history.append(AcceptedChange(self.revision, command))
-        if len(self.history) > MAX_HISTORY:
-            self.history.pop(0)
+        size = len(_encoder.encode(command))
+        self.history.append(AcceptedChange(self.revision, command, size))
+        self._evict_history()
         return Accepted(self.revision)
 
+    def _evict_history(self) -> None:
+        """Remove the oldest changes beyond the limits of the history."""
+        first = max(len(self.history) - MAX_HISTORY, 0)
+        sizes = [accepted.size_bytes for accepted in self.history]
+        total_bytes = sum(sizes[first:])
+        while total_bytes > MAX_HISTORY_BYTES and first < len(sizes) - 1:
+            total_bytes -= sizes[first]
+            first += 1
+        self.history = self.history[first:]
+
 
 def revision_of(outcome: CommandOutcome) -> int:
     """Return the revision that a command created.
--- a/lycheespar/control/storage/journal.py
+++ b/lycheespar/control/storage/journal.py
@@ -70,12 +70,14 @@
 
         At least one entry is returned, if there is one.
         """
-        first_byte = self._end_offsets[start - 1] if start else 0
-        stop = bisect.bisect_right(
-            self._end_offsets, first_byte + max_bytes, start
-        )
+        last_byte = self.size_of_first(start) + max_bytes
+        stop = bisect.bisect_right(self._end_offsets, last_byte, start)
         return self.entries[start : min(max(stop, start + 1), start + limit)]
 
+    def size_of_first(self, count: int) -> int:
+        """Return the size in bytes of the given number of first entries."""
+        return self._end_offsets[count - 1] if count else 0
+
     def append(self, entries: Sequence[LogEntry]) -> None:
         """Append entries and sync the file.
 
--- a/lycheespar/control/storage/storage.py
+++ b/lycheespar/control/storage/storage.py
@@ -82,6 +82,15 @@
     folder : Path
         Data folder; created if it does not exist.
 
+    Attributes
+    ----------
+    identity : Identity
+        Disk id, term and vote.
+    snapshot : GroupState
+        State of the snapshot as it was loaded.
+    snapshot_bytes : int
+        Size of the present snapshot in bytes; 0 if there is none.
+
     Raises
     ------
     StorageLockedError
@@ -98,6 +107,7 @@
         '_lock',
         'identity',
         'snapshot',
+        'snapshot_bytes',
     )
 
     _journal: Journal
@@ -106,6 +116,7 @@
         """Lock the folder and load its files."""
         self.identity = Identity('')
         self._folder = folder
+        self.snapshot_bytes = 0
         self._lock = _lock(folder)
         try:
             self._load()
@@ -159,6 +170,10 @@
         start = first - self._base_index - 1
         return self._journal.slice_within(start, limit, max_bytes)
 
+    def bytes_until(self, index: int) -> int:
+        """Return the stored size of the entries up to an index, in bytes."""
+        return self._journal.size_of_first(index - self._base_index)
+
     def append(self, entries: Sequence[LogEntry]) -> None:
         """Append and sync entries.
 
@@ -202,6 +217,7 @@
             kept = self.entries(state.index + 1)
         content = encode_record(_encoder.encode(state))
         replace_file(self._folder / _SNAPSHOT, content)
+        self.snapshot_bytes = len(content)
         self._journal.rewrite(kept)
         self._base_index, self._base_term = state.index, state.term
         log.info('Saved a snapshot of the state up to index {}.', state.index)
@@ -220,6 +236,8 @@
         if identity and identity.term and not (self._folder / _LOG).exists():
             raise StorageDamagedError("'log' is missing")
         self.snapshot = snapshot or GroupState()
+        if snapshot is not None:
+            self.snapshot_bytes = (self._folder / _SNAPSHOT).stat().st_size
         self._base_index = self.snapshot.index
         self._base_term = self.snapshot.term
         self._journal = Journal(self._folder / _LOG)
--- a/lycheespar/tests/control/agreement/groups.py
+++ b/lycheespar/tests/control/agreement/groups.py
@@ -17,7 +17,11 @@
 import msgspec
 import pytest
 
-from lycheespar.configuration.changes import Command, TakeOutDataCentre
+from lycheespar.configuration.changes import (
+    Command,
+    ReturnDataCentre,
+    TakeOutDataCentre,
+)
 from lycheespar.control.agreement.group import Group
 from lycheespar.control.agreement.peer_messages import PeerReply, PeerRequest
 from lycheespar.control.agreement.peers import Timing
@@ -299,8 +303,9 @@
 
 
 def large_command(number: int, size: int) -> Command:
-    """Return a command of about that many bytes."""
-    return command(f'large-{number}', number, f'dc-{number}-{"x" * size}')
+    """Return a command of about that many bytes, which changes little."""
+    change = ReturnDataCentre('x' * size)
+    return Command(f'large-{number}', number, 'operator', change)
 
 
 def fill_disks(monkeypatch: pytest.MonkeyPatch, full: set[str]) -> None:
--- a/lycheespar/tests/control/agreement/large_logs_tests.py
+++ b/lycheespar/tests/control/agreement/large_logs_tests.py
@@ -19,6 +19,8 @@
 
 CHANGES: Final = 60
 CHANGE_BYTES: Final = 10_000
+LARGE_CHANGES: Final = 30
+LARGE_CHANGE_BYTES: Final = 1_000_000
 # The log takes four election time-outs on a link, a change a tenth of one.
 BYTES_PER_S: Final = CHANGES * CHANGE_BYTES / (4 * TIMING.election_timeout_s)
 
@@ -88,3 +90,22 @@
         hosts.network.cuts.clear()
         await asyncio.sleep(TIMING.election_timeout_s)
     await until(lambda: lost.is_voter)
+
+
+async def test_a_log_of_large_changes_is_replaced_by_snapshots(tmp_path):
+    """Some hundred large changes must not exceed a control host's memory."""
+    planned = Hosts(tmp_path, snapshot_every=1000)
+    planned.start()
+    await planned.wait_until_settled()
+    for number in range(LARGE_CHANGES):
+        leader = await planned.wait_for_leader()
+        await leader.group.submit(large_command(number, LARGE_CHANGE_BYTES))
+    await planned.wait_until_settled()
+    for host in planned.all:
+        stored = sum(path.stat().st_size for path in host.folder.iterdir())
+        assert stored < LARGE_CHANGES * LARGE_CHANGE_BYTES / 2
+        host.crash()
+    planned.start()
+    leader = await planned.wait_for_leader()
+    assert (await leader.group.read()).revision == LARGE_CHANGES
+    planned.stop()
--- a/lycheespar/tests/control/state/state_tests.py
+++ b/lycheespar/tests/control/state/state_tests.py
@@ -9,7 +9,7 @@
 from lycheespar.control.state import state as state_module
 from lycheespar.control.state.entries import LogEntry, Proposal
 from lycheespar.control.state.state import Accepted, GroupState
-from lycheespar.tests.control.agreement.groups import command
+from lycheespar.tests.control.agreement.groups import command, large_command
 
 _commands = st.tuples(st.integers(0, 12), st.integers(0, 6))
 
@@ -49,7 +49,7 @@
 def test_changes_since_a_revision_are_complete(commands, revision):
     state = GroupState()
     _apply(state, commands)
-    changes = state.changes_since(revision)
+    changes = state.accepted_since(revision)
     assert changes is not None
     assert len(changes) == max(0, state.revision - revision)
 
@@ -61,5 +61,25 @@
     _apply(state, [(number, number) for number in range(5)])
     assert list(state.outcomes) == ['2', '3', '4']
     assert len(state.history) == 2
-    assert state.changes_since(2) is None
+    assert state.accepted_since(2) is None
     assert state.known_outcome(command('0', 0)) is not None
+
+
+def test_history_of_large_changes_is_bounded_in_bytes():
+    """Some hundred large changes must not exceed a control host's memory."""
+    state = GroupState()
+    size = 200_000
+    for number in range(40):
+        content = Proposal(large_command(number, size))
+        state.apply(LogEntry(state.index + 1, 1, content))
+    assert state.revision == 40
+    assert len(msgspec.msgpack.encode(state.history)) < 40 * size / 4
+
+
+def test_the_newest_change_is_stored_whatever_its_size():
+    """Operators must find the last change in the history."""
+    state = GroupState()
+    for number in range(2):
+        content = Proposal(large_command(number, 20_000_000))
+        state.apply(LogEntry(state.index + 1, 1, content))
+    assert [accepted.revision for accepted in state.history] == [2]
