Control: a host that is stopped gives its vote back first

Operators saw: a control host was replaced as planned, and a disk was lost 1 s after it had ended.

Cause: the successor was admitted as a fourth voter, so a quorum was three. The host that ended kept its vote until it had been silent for 3 s. With a second loss in that time, two of four voters were left, and each change of the voters needs a quorum of the old ones.

On SIGTERM a control host tells its leader in its replies that it is leaving and waits until its vote is removed, if more than the least number of voters are left. So the quorum is right before the host ends.

--- a/lycheespar/control/agreement/election.py
+++ b/lycheespar/control/agreement/election.py
@@ -81,8 +81,14 @@
 
     @property
     def _is_eligible(self) -> bool:
-        """Whether this disk is a voter, or will be, and has free space."""
+        """Whether this host may lead: its disk votes and has free space.
+
+        It also may if its disk will vote by a change that is not committed. A
+        host that is about to stop must not.
+        """
         replica = self._replica
+        if replica.leaving:
+            return False
         is_voter = any(
             voters.get(replica.name) == replica.disk
             for voters in replica.voter_sets
--- a/lycheespar/control/agreement/follower_progress.py
+++ b/lycheespar/control/agreement/follower_progress.py
@@ -31,6 +31,8 @@
         Time at which the newest acknowledged message was sent.
     has_free_space : bool
         Whether the host's disk has free space for changes.
+    leaving : bool
+        Whether the host is about to stop and gives its vote back.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         'has_free_space',
         'host',
         'known_since',
+        'leaving',
         'matched',
         'next_index',
     )
@@ -54,6 +57,7 @@
         self.disk = ''
         self.acknowledged_at = NEVER
         self.has_free_space = False
+        self.leaving = False
 
     @property
     def voter(self) -> Voter:
@@ -77,4 +81,5 @@
         self.agrees = reply.matched
         self.disk = reply.disk
         self.has_free_space = reply.room
+        self.leaving = reply.leaving
         self.acknowledged_at = max(self.acknowledged_at, sent_at)
--- a/lycheespar/control/agreement/group.py
+++ b/lycheespar/control/agreement/group.py
@@ -21,6 +21,7 @@
 from lycheespar.control.agreement.joining import Joining
 from lycheespar.control.agreement.leader_messages import LeaderMessageHandler
 from lycheespar.control.agreement.leadership import Leadership
+from lycheespar.control.agreement.leaving import Leaving
 from lycheespar.control.agreement.peer_messages import (
     Append,
     AskReadIndex,
@@ -178,6 +179,12 @@
         for task in self._tasks:
             task.cancel()
 
+    async def leave(self) -> None:
+        """Give this host's vote back before the host stops, if possible."""
+        await Leaving(self._replica, self._timing).run()
+        if self._leadership is not None:
+            await self._leadership.confirm_to_followers()
+
     async def handle(self, request: PeerRequest) -> PeerReply:
         """Answer a request of another control host.
 
@@ -230,7 +237,9 @@
         reply = await self._ask_leader(AskReadIndex())
         match reply:
             case ReadIndex(index):
-                await self._wait_until_applied(index)
+                await _wait_until_applied(
+                    self._replica, index, self._operation_timeout_s
+                )
                 return self.state
             case _:
                 raise NoQuorumError(repr(reply))
@@ -319,13 +328,17 @@
             case _:
                 return reply
 
-    async def _wait_until_applied(self, index: int) -> None:
-        try:
-            async with asyncio.timeout(self._operation_timeout_s):
-                await self._replica.changed.wait_for(
-                    lambda: self.state.index >= index,
-                )
-        except TimeoutError as error:
-            raise NoQuorumError(
-                'this host did not apply the committed entries in time',
-            ) from error
+
+async def _wait_until_applied(
+    replica: Replica, index: int, timeout_s: float
+) -> None:
+    """Wait until a host has applied the entries up to an index."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await replica.changed.wait_for(
+                lambda: replica.state.index >= index,
+            )
+    except TimeoutError as error:
+        raise NoQuorumError(
+            'this host did not apply the committed entries in time',
+        ) from error
--- a/lycheespar/control/agreement/leader_messages.py
+++ b/lycheespar/control/agreement/leader_messages.py
@@ -132,4 +132,5 @@
             index,
             self._replica.disk,
             self._replica.log.has_free_space,
+            self._replica.leaving,
         )
--- a/lycheespar/control/agreement/leadership.py
+++ b/lycheespar/control/agreement/leadership.py
@@ -208,6 +208,16 @@
             await self.confirmed.wait()
         return self._replica.state.index
 
+    async def confirm_to_followers(self) -> None:
+        """Wait until a quorum knows what is committed, if that works."""
+        try:
+            async with asyncio.timeout(self._timing.election_timeout_s):
+                await self.read_index()
+        except (TimeoutError, NotLeaderError) as error:
+            log.warning(
+                'No quorum has confirmed the last entries: {!r}.', error
+            )
+
     def _start_replication(self) -> None:
         """Start to replicate to each known host that has no task yet."""
         now = asyncio.get_running_loop().time()
--- a/lycheespar/control/agreement/peer_messages.py
+++ b/lycheespar/control/agreement/peer_messages.py
@@ -188,6 +188,8 @@
         Identifier of the follower's disk.
     room : bool
         Whether the follower's disk has space for changes.
+    leaving : bool
+        Whether the follower is about to stop and gives its vote back.
     """
 
     term: int
@@ -195,6 +197,7 @@
     index: int
     disk: str
     room: bool = True
+    leaving: bool = False
 
 
 class AskStamp(msgspec.Struct, frozen=True, tag='ask_stamp'):
--- a/lycheespar/control/agreement/replica.py
+++ b/lycheespar/control/agreement/replica.py
@@ -75,6 +75,9 @@
         Role in the current term.
     leader : str
         Name of the leader; empty while none is known.
+    leaving : bool
+        Whether this host is about to stop, so that its vote is to be removed
+        if enough voters remain.
     changed : Notifier
         Notified when entries are applied, a term is adopted or this host
         stops leading.
@@ -89,6 +92,7 @@
         'changed',
         'election_timer_started_at',
         'leader',
+        'leaving',
         'name',
         'role',
         'state',
@@ -109,6 +113,7 @@
         self.state = storage.snapshot
         self.role = Role.follower
         self.leader = ''
+        self.leaving = False
         self.changed = Notifier()
         self.election_timer_started_at = asyncio.get_running_loop().time()
         self._storage = storage
--- a/lycheespar/control/agreement/voter_manager.py
+++ b/lycheespar/control/agreement/voter_manager.py
@@ -74,6 +74,8 @@
         voters = self._stable_voters
         if voters is None or voters.get(follower.host) == follower.disk:
             return None
+        if follower.leaving:
+            return None
         if follower.matched < self._replica.state.index:
             return None
         removed = ''
@@ -85,19 +87,20 @@
         return ReplaceDisk(follower.host, follower.disk, removed)
 
     def removal_change(self) -> VoterChange | None:
-        """Return the change that removes a silent voter, if possible now.
+        """Return the change that removes a voter, if possible now.
 
-        The least number of voters, which is needed to tolerate failures, is
-        never undercut.
+        A voter is removed when it is about to stop, or has been silent for
+        too long. The least number of voters, which is needed to tolerate
+        failures, is never undercut.
         """
         voters = self._stable_voters
         if voters is None or len(voters) <= self._timing.least_voters:
             return None
-        silent = self._silent_voter(voters)
-        if not silent:
+        removed = self._leaving_voter(voters) or self._silent_voter(voters)
+        if not removed:
             return None
-        log.info("Removing the silent voter '{}'.", silent)
-        return RemoveVoter(silent)
+        log.info("Removing the voter '{}', which is leaving or lost.", removed)
+        return RemoveVoter(removed)
 
     def forget_if_silent(self, follower: FollowerProgress) -> bool:
         """Forget a silent host; return whether it was forgotten.
@@ -118,6 +121,17 @@
         sets = self._replica.voter_sets
         return sets[0] if len(sets) == 1 else None
 
+    def _leaving_voter(self, voters: Voters) -> str:
+        """Return a voter that is about to stop; empty if there is none."""
+        leaving = {
+            follower.host
+            for follower in self._followers.values()
+            if follower.leaving
+        }
+        if self._replica.leaving:
+            leaving.add(self._replica.name)
+        return min(leaving & voters.keys(), default='')
+
     def _silent_voter(self, voters: Voters) -> str:
         """Return the voter that is silent longest, if it may be replaced."""
         silences = {
--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 from pathlib import Path
@@ -129,6 +130,11 @@
         await self._server.start(self.address)
         self.group.start()
 
+    async def leave_after(self, stopped: asyncio.Event) -> None:
+        """Wait for an event, then give this host's vote back."""
+        await stopped.wait()
+        await self.group.leave()
+
     def stop(self) -> None:
         """Close the port, the links and the data folder."""
         self.group.stop()
--- a/lycheespar/control_app.py
+++ b/lycheespar/control_app.py
@@ -71,7 +71,7 @@
         if controller is not None:
             controller.start()
         log.info("Control host '{}' is serving.", settings.name)
-        await stopped.wait()
+        await host.leave_after(stopped)
         if controller is not None:
             controller.stop()
         await api.stop()
--- a/lycheespar/tests/control/agreement/groups.py
+++ b/lycheespar/tests/control/agreement/groups.py
@@ -194,6 +194,12 @@
         with (self.folder / 'log').open('ab') as log:
             log.write(self.network.rng.choice((b'', b'\0', b'\0\0\1')))
 
+    async def stop(self) -> None:
+        """Stop as planned: leave the group, then end."""
+        assert self.group is not None
+        await self.group.leave()
+        self.crash()
+
     def lose_disk(self) -> None:
         """Crash and restart with an empty disk."""
         self.crash()
--- a/lycheespar/tests/control/agreement/joining_tests.py
+++ b/lycheespar/tests/control/agreement/joining_tests.py
@@ -137,3 +137,62 @@
     returning.start()
     await until(lambda: returning.is_voter)
     assert hosts.leader is leader
+
+
+@pytest.mark.parametrize('led', [True, False])
+async def test_a_disk_can_be_lost_right_after_a_planned_replacement(hosts, led):
+    """The vote of a host that has left must not count towards a quorum."""
+    hosts.start()
+    await hosts.wait_until_settled()
+    hosts.add('control-9', ['control-0'])
+    await until(lambda: len(voters(hosts)) == 4)
+    await hosts.wait_until_settled()
+    leaving = next(
+        host for host in hosts.all[:3] if (host is hosts.leader) is led
+    )
+    await leaving.stop()
+    hosts.all.remove(leaving)
+    lost = next(host for host in hosts.all if host is not hosts.leader)
+    lost.lose_disk()
+    await hosts.wait_until_settled()
+    assert voters(hosts) == {host.name for host in hosts.all}
+    await accept(hosts, 'after')
+
+
+async def test_a_host_that_leaves_is_not_admitted_again_before_it_ends(hosts):
+    """A leaving host still replies; its vote must not be given back to it."""
+    hosts.start()
+    await hosts.wait_until_settled()
+    hosts.add('control-9', ['control-0'])
+    await until(lambda: len(voters(hosts)) == 4)
+    leaving = next(host for host in hosts.all if host is not hosts.leader)
+    await leaving.group.leave()
+    await asyncio.sleep(4 * TIMING.election_timeout_s)
+    assert leaving.name not in voters(hosts)
+    assert len(voters(hosts)) == 3
+
+
+async def test_a_host_that_left_rejoins_after_its_restart(hosts):
+    """A planned restart must not cost the group a voter."""
+    hosts.start()
+    await hosts.wait_until_settled()
+    hosts.add('control-9', ['control-0'])
+    await until(lambda: len(voters(hosts)) == 4)
+    for host in tuple(hosts.all):
+        await host.stop()
+        host.start()
+        await until(lambda: len(voters(hosts)) == 4)
+        await hosts.wait_until_settled()
+    await accept(hosts, 'after')
+
+
+async def test_a_planned_stop_does_not_go_below_the_minimum_of_voters(hosts):
+    """A rolling restart of three hosts must not shrink their group."""
+    hosts.start()
+    await hosts.wait_until_settled()
+    stopped = hosts.all[0]
+    await stopped.stop()
+    await accept(hosts, 'meanwhile')
+    assert len(voters(hosts)) == 3
+    stopped.start()
+    await hosts.wait_until_settled()
