Control: the last of an even number of voters has two votes

Of four or more voters in even number, the one that was admitted last now has two votes, so that an additional voter makes up for a lost one. Quorums of the former rule have a host in common with the new ones too, so hosts may be updated in turn.

--- a/lycheespar/control/agreement/quorum.py
+++ b/lycheespar/control/agreement/quorum.py
@@ -1,4 +1,11 @@
-"""Quorums: majorities of one or more sets of voters."""
+"""Quorums: majorities of one or more sets of voters.
+
+Of an even number of voters, the one that was admitted last has two votes. So a
+host that joins before another one is replaced makes up for the loss of that
+one: any two of four hosts may be lost as long as the last one remains. More
+than half of the hosts are always a quorum, and two quorums always have a host
+in common.
+"""
 
 from __future__ import annotations
 
@@ -17,6 +24,9 @@
 Voter = tuple[str, str]
 
 NEVER: Final = float('-inf')
+# Least number of voters of which one has two votes. With fewer, it would be a
+# quorum on its own.
+_MIN_VOTERS_FOR_TWO_VOTES: Final = 4
 
 
 def voter_sets(
@@ -65,8 +75,7 @@
 def _majority_value(voters: Voters, reached: Mapping[Voter, float]) -> float:
     if not voters:
         return NEVER
-    ordered = sorted(
-        (reached.get(voter, NEVER) for voter in voters.items()),
-        reverse=True,
-    )
-    return ordered[len(ordered) // 2]
+    votes = [reached.get(voter, NEVER) for voter in voters.items()]
+    if len(votes) % 2 == 0 and len(votes) >= _MIN_VOTERS_FOR_TWO_VOTES:
+        votes.append(votes[-1])
+    return sorted(votes, reverse=True)[len(votes) // 2]
--- a/lycheespar/control/state/entries.py
+++ b/lycheespar/control/state/entries.py
@@ -6,7 +6,8 @@
 
 from lycheespar.configuration.changes import Command
 
-# Disk ids of the voters by name of their control host.
+# Disk ids of the voters by name of their control host, in the order in which
+# the hosts were admitted; entries and snapshots keep that order.
 Voters = dict[str, str]
 
 
--- a/lycheespar/tests/control/agreement/joining_tests.py
+++ b/lycheespar/tests/control/agreement/joining_tests.py
@@ -196,3 +196,26 @@
     assert len(voters(hosts)) == 3
     stopped.start()
     await hosts.wait_until_settled()
+
+
+@pytest.mark.parametrize('led', [True, False])
+async def test_a_disk_can_be_lost_right_after_a_replaced_host_is_killed(
+    hosts, led
+):
+    """An additional voter must make up for one that ends without notice."""
+    hosts.start()
+    await hosts.wait_until_settled()
+    hosts.add('control-9', ['control-0'])
+    await until(lambda: len(voters(hosts)) == 4)
+    await hosts.wait_until_settled()
+    killed = next(
+        host for host in hosts.all[:3] if (host is hosts.leader) is led
+    )
+    killed.crash()
+    hosts.all.remove(killed)
+    lost = next(host for host in hosts.all[:2] if host is not hosts.leader)
+    lost.lose_disk()
+    names = {host.name for host in hosts.all}
+    await until(lambda: voters(hosts) == names)
+    await hosts.wait_until_settled()
+    await accept(hosts, 'after')
