Ingress: a stopping node refuses what it may not be able to finish

With a check that does nothing, as before, test_a_request_that_may_outlast_a_planned_stop_is_refused fails.

A request is now taken if its deadline is before the end of the stop, or if requests of its class have recently taken less than half of what is left. Any other one is refused at once, not run, with the end of the stop as Retry-After. So nothing is under way at the end that could be known to be.

--- a/lycheespar/drain.py
+++ b/lycheespar/drain.py
@@ -31,7 +31,8 @@
 
     Other nodes learn by gossip that the target is draining and stop sending
     calls. Until the port is closed, requests of callers run at other targets,
-    and each answer asks the caller to close its connection.
+    and each answer asks the caller to close its connection. Requests that may
+    last longer than the stop are refused.
 
     Parameters
     ----------
@@ -80,7 +81,7 @@
         """Drain and stop; requests that exceed the time limit are aborted."""
         log.info('The node is draining and finishes its requests.')
         self._target.mark_draining()
-        self._ingress.drain()
+        self._ingress.drain(self._limit_s)
         try:
             async with asyncio.timeout(self._limit_s):
                 await self._finish_requests()
--- a/lycheespar/ingress/request.py
+++ b/lycheespar/ingress/request.py
@@ -18,10 +18,13 @@
         Time at which the head was read, in seconds on the event loop's clock.
     request_id : str
         Id of the request for logs, once it is known.
+    request_class : str
+        Class of the request; empty until its call was taken.
     early_call : asyncio.Task[Answer] | None
         The call, if it was started before the request's turn to be answered.
     """
 
     read_at: float = 0
     request_id: str = ''
+    request_class: str = ''
     early_call: asyncio.Task[Answer] | None = None
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from lycheespar.call import Answer, Dispatch
-from lycheespar.errors import InternalRequestError, RequestError
+from lycheespar.errors import InternalRequestError, Outcome, RequestError
 from lycheespar.ingress.answers import problem_response, send_answer
 from lycheespar.ingress.body import CallerBody
 from lycheespar.ingress.call_builder import CallBuilder
@@ -21,6 +21,7 @@
 )
 from lycheespar.ingress.listener import ignore_new_connections, open_listener
 from lycheespar.ingress.request import CallerRequest
+from lycheespar.ingress.stop_admission import StopAdmission
 from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.settings.options import Address
 from lycheespar.streams import close_stream
@@ -61,6 +62,7 @@
         '_profile',
         '_runner',
         '_server',
+        '_stop_admission',
     )
 
     def __init__(
@@ -77,6 +79,7 @@
         self._profile = profile
         self._log_answers = log_answers
         self._draining = False
+        self._stop_admission = StopAdmission()
         self._listener: socket.socket | None = None
         self._server = CallerServer(
             self._handle,
@@ -103,9 +106,17 @@
         self._listener = open_listener(address.host, address.port)
         await web.SockSite(self._runner, self._listener).start()
 
-    def drain(self) -> None:
-        """Tell callers, with each answer, to close their connection."""
+    def drain(self, limit_s: float) -> None:
+        """Tell callers, with each answer, to close their connection.
+
+        Parameters
+        ----------
+        limit_s : float
+            Time in seconds after which the server stops. Requests that may
+            not be finished by then are refused.
+        """
         self._draining = True
+        self._stop_admission.begin(asyncio.get_running_loop().time(), limit_s)
 
     async def close_port(self) -> None:
         """Accept no new connections; keep serving the open ones."""
@@ -161,6 +172,8 @@
         try:
             answer = await (request.early_call or self._run_call(request))
         except RequestError as error:
+            if error.outcome is Outcome.unknown:
+                self._record_duration(request)
             return self._error_response(request_id, error)
         except Exception as error:  # a bug must not end the connection
             log.exception("Unexpected error while handling a caller's request.")
@@ -178,8 +191,16 @@
             reset_connection(request)
             raise ConnectionResetError from error
         finally:
+            self._record_duration(request)
             await close_stream(answer.body)
 
+    def _record_duration(self, request: CallerRequest) -> None:
+        """Record how long a request took that a target may have run."""
+        now = asyncio.get_running_loop().time()
+        self._stop_admission.record(
+            request.request_class, now - request.read_at, now
+        )
+
     def _error_response(
         self, request_id: str, error: RequestError
     ) -> web.Response:
@@ -202,6 +223,12 @@
 
     async def _run_call(self, request: CallerRequest) -> Answer:
         call = await self._call_builder.build_call(request)
+        self._stop_admission.check(
+            call.request_class,
+            call.deadline,
+            asyncio.get_running_loop().time(),
+        )
+        request.request_class = call.request_class
         try:
             answer = await self._dispatch.dispatch(call)
         except RequestError as error:
--- a/lycheespar/tests/ingress/pipelining_tests.py
+++ b/lycheespar/tests/ingress/pipelining_tests.py
@@ -287,7 +287,7 @@
     async with _connected(dispatch) as caller:
         caller.send(*(f'GET {path}' for path in paths[:3]))
         await dispatch.wait_for(*paths[:3])
-        caller.server.drain()
+        caller.server.drain(60)
         stopping = asyncio.create_task(caller.server.wait_until_idle(0))
         await asyncio.sleep(0.05)
         caller.send(f'GET {paths[3]}')
--- a/lycheespar/tests/ingress/server_tests.py
+++ b/lycheespar/tests/ingress/server_tests.py
@@ -367,3 +367,34 @@
         async with asyncio.timeout(5):
             assert not await reader.read()
     writer.close()
+
+
+async def test_a_request_that_may_outlast_a_planned_stop_is_refused(ingress):
+    """It would be passed on and cut off without an answer at the end."""
+    ingress.server.drain(1)
+    sent = _request('POST /a HTTP/1.1', 'X-Deadline-Ms: 2000\r\n')
+    received = await ingress.exchange(sent)
+    head, _, body = received.partition(b'\r\n\r\n')
+    assert b' 503 ' in head.split(b'\r\n')[0]
+    assert b'retry-after' in head.lower()
+    problem = json.loads(body)
+    assert problem['code'] == 'draining'
+    assert problem['outcome'] == 'not_run'
+    assert not ingress.dispatch.calls
+
+
+async def test_a_request_that_ends_before_a_planned_stop_is_served(ingress):
+    """Callers may have no other node than the one that stops."""
+    ingress.server.drain(3)
+    sent = _request('POST /a HTTP/1.1', 'X-Deadline-Ms: 1000\r\n')
+    received = await ingress.exchange(sent)
+    assert received.startswith(b'HTTP/1.1 200')
+
+
+async def test_a_usually_short_request_is_served_early_in_a_stop(ingress):
+    """The node must learn durations from the answers that it sends."""
+    sent = _request('POST /a HTTP/1.1', 'X-Deadline-Ms: 2000\r\n')
+    await ingress.exchange(sent)
+    ingress.server.drain(1.5)
+    received = await ingress.exchange(sent)
+    assert received.startswith(b'HTTP/1.1 200')
