Control: use files again after a storage error

Cause: a failed sync, where some file systems report a full disk, and a failed removal of a torn write made the log unusable until the next start; a failed write did so for the file of claims. Such a leader led on and refused each change. Besides, a rewrite of the log that failed after its rename left the nameless old file in use, whose later entries were gone at a restart.

Evidence: test_changes_are_accepted_after_disks_were_full_in_turn (fsync, ftruncate), test_a_leader_that_can_not_write_lets_another_one_lead, test_claims_are_granted_again_once_a_full_disk_has_space and test_entries_are_not_appended_to_a_file_that_lost_its_name failed before.

After an error, the next change first writes all entries or claims to a new file. Until that works, the host doesn't lead and says that it can't store changes; a leader steps down after any storage error if a quorum can.

test_log_rejects_appends_after_a_failed_sync required that the log stays unusable. What it guarded against, an append to a file whose content is unknown, is required by test_log_is_written_anew_after_a_failed_sync: the old file gets no byte, and all entries are in the new one. test_full_disk_grants_no_claim now lets a full disk refuse all writes and not only appends; it checks the same.

--- a/lycheespar/control/agreement/election.py
+++ b/lycheespar/control/agreement/election.py
@@ -81,7 +81,7 @@
 
     @property
     def _is_eligible(self) -> bool:
-        """Whether this host may lead: its disk votes and has free space.
+        """Whether this host may lead: its disk votes and stores changes.
 
         It also may if its disk will vote by a change that is not committed. A
         host that is about to stop must not.
@@ -93,7 +93,7 @@
             voters.get(replica.name) == replica.disk
             for voters in replica.voter_sets
         )
-        return is_voter and replica.log.has_free_space
+        return is_voter and replica.log.accepts_changes
 
     async def _campaign(self) -> None:
         """Hold a pre-vote, and request real votes if a quorum would grant them.
--- a/lycheespar/control/agreement/follower_progress.py
+++ b/lycheespar/control/agreement/follower_progress.py
@@ -29,17 +29,17 @@
         Id of the host's disk; empty before its first reply.
     acknowledged_at : float
         Time at which the newest acknowledged message was sent.
-    has_free_space : bool
-        Whether the host's disk has free space for changes.
+    accepts_changes : bool
+        Whether the host can store changes.
     leaving : bool
         Whether the host is about to stop and gives its vote back.
     """
 
     __slots__ = (
+        'accepts_changes',
         'acknowledged_at',
         'agrees',
         'disk',
-        'has_free_space',
         'host',
         'known_since',
         'leaving',
@@ -56,7 +56,7 @@
         self.agrees = False
         self.disk = ''
         self.acknowledged_at = NEVER
-        self.has_free_space = False
+        self.accepts_changes = False
         self.leaving = False
 
     @property
@@ -80,6 +80,6 @@
         self.next_index = reached + 1
         self.agrees = reply.matched
         self.disk = reply.disk
-        self.has_free_space = reply.room
+        self.accepts_changes = reply.room
         self.leaving = reply.leaving
         self.acknowledged_at = max(self.acknowledged_at, sent_at)
--- a/lycheespar/control/agreement/group.py
+++ b/lycheespar/control/agreement/group.py
@@ -48,14 +48,13 @@
     NoQuorumError,
     NotLeaderError,
     StorageError,
-    StorageFullError,
     control_error,
 )
 
 # Time-out in seconds of a change or of a read, which both need a quorum.
 OPERATION_TIMEOUT_S: Final = 10
-# A change fails after this many attempts at leaders whose disk is full.
-MAX_FULL_LEADERS: Final = 3
+# A change fails after this many attempts at leaders that can't store it.
+MAX_FAILED_LEADERS: Final = 3
 
 log = logger.bind(part='control')
 
@@ -300,13 +299,16 @@
 
     async def _ask_until_answered(self, request: PeerRequest) -> PeerReply:
         """Retry failures that another attempt or another leader may resolve."""
-        full_leaders = 0
+        failed_leaders = 0
         while True:
             try:
                 return await self._ask_once(request)
-            except StorageFullError:
-                full_leaders += 1
-                if full_leaders == MAX_FULL_LEADERS:
+            except StorageError as error:
+                log.warning(
+                    'A leader can not store a change: {}.', error.detail
+                )
+                failed_leaders += 1
+                if failed_leaders == MAX_FAILED_LEADERS:
                     raise
             except (NotLeaderError, LinkError) as error:
                 log.debug('Retrying a request to the leader: {}.', error.detail)
--- a/lycheespar/control/agreement/leader_messages.py
+++ b/lycheespar/control/agreement/leader_messages.py
@@ -15,7 +15,7 @@
 )
 from lycheespar.control.agreement.replica import Replica, Role
 from lycheespar.control.state.entries import LogEntry
-from lycheespar.errors import StorageFullError
+from lycheespar.errors import StorageError
 
 log = logger.bind(part='control')
 
@@ -38,8 +38,8 @@
     def handle_append(self, request: Append) -> AppendReply:
         """Append the entries of a leader and acknowledge them.
 
-        If the disk is full, the host still follows the leader but does not
-        acknowledge the entries.
+        If they can't be stored, the host still follows the leader but does
+        not acknowledge them.
         """
         replica = self._replica
         if not self._accept_leader(request):
@@ -52,7 +52,7 @@
         appended = len(request.entries)
         try:
             self._merge(request.entries)
-        except StorageFullError as error:
+        except StorageError as error:
             log.error('Appending log entries failed: {}.', error.detail)
             appended = 0
         index = max(previous.index + appended, replica.state.index)
@@ -131,6 +131,6 @@
             matched,
             index,
             self._replica.disk,
-            self._replica.log.has_free_space,
+            self._replica.log.accepts_changes,
             self._replica.leaving,
         )
--- a/lycheespar/control/agreement/leadership.py
+++ b/lycheespar/control/agreement/leadership.py
@@ -31,7 +31,7 @@
     Proposal,
 )
 from lycheespar.control.state.state import CommandOutcome
-from lycheespar.errors import NotLeaderError, StorageFullError
+from lycheespar.errors import NotLeaderError, StorageError
 
 MS_PER_S: Final = 1000
 
@@ -172,8 +172,8 @@
         ------
         NotLeaderError
             This host no longer leads; the outcome is unknown.
-        StorageFullError
-            The disk is full; nothing was proposed.
+        StorageError
+            The command can't be stored; nothing was proposed.
         """
         await self._wait_until(lambda: self.ready)
         known = self._replica.state.known_outcome(command)
@@ -181,8 +181,8 @@
             return known
         try:
             self._append(Proposal(command))
-        except StorageFullError:
-            self._step_down_if_quorum_has_space()
+        except StorageError:
+            self._step_down_if_quorum_can_store()
             raise
         outcomes = self._replica.state.outcomes
         await self._wait_until(lambda: command.change_id in outcomes)
@@ -252,19 +252,19 @@
             return False
         return not self._voter_manager.forget_if_silent(follower)
 
-    def _step_down_if_quorum_has_space(self) -> None:
-        """Step down if a quorum of the other hosts has free disk space.
+    def _step_down_if_quorum_can_store(self) -> None:
+        """Step down if a quorum of the other hosts can store changes.
 
         Otherwise, no new leader could accept changes either, and this one
         can still confirm to the nodes that their configuration is current.
         """
-        with_space = [
+        able = [
             follower.voter
             for follower in self._followers.values()
-            if follower.has_free_space
+            if follower.accepts_changes
             and follower.acknowledged_at > self._started_at
         ]
-        if has_quorum(self._replica.voter_sets, with_space):
+        if has_quorum(self._replica.voter_sets, able):
             self._step_down()
 
     async def _wait_until(self, condition: Condition) -> None:
--- a/lycheespar/control/agreement/peer_messages.py
+++ b/lycheespar/control/agreement/peer_messages.py
@@ -187,7 +187,8 @@
     disk : str
         Identifier of the follower's disk.
     room : bool
-        Whether the follower's disk has space for changes.
+        Whether the follower can store changes: its disk has free space and
+        its log is usable.
     leaving : bool
         Whether the follower is about to stop and gives its vote back.
     """
--- a/lycheespar/control/agreement/replication.py
+++ b/lycheespar/control/agreement/replication.py
@@ -189,7 +189,7 @@
         if term is None:
             state = replica.snapshot()
             return Install(state.group, self._term, replica.name, state)
-        entries = replica.log.entries_within(
+        entries = replica.log.entries(
             index + 1, MAX_ENTRIES_PER_MESSAGE, MAX_BYTES_PER_MESSAGE
         )
         return self._append_message(LogPosition(index, term), entries)
--- a/lycheespar/control/claims/claims.py
+++ b/lycheespar/control/claims/claims.py
@@ -147,6 +147,8 @@
                 self._apply(message, now)
                 self._enqueue(message)
                 claim = granted.claim
+        if self._needs_rewrite:
+            self._enqueue(claim)
         if self._newest_sync is not None:
             await asyncio.shield(self._newest_sync)
         return ClaimReply(claim)
@@ -178,7 +180,7 @@
             batch, self._next_batch = self._next_batch, None
             self._written_batch = batch
             try:
-                await asyncio.to_thread(self._file.append, batch.messages)
+                await self._write(batch)
             except StorageError as error:
                 batch.fail(error)
             else:
@@ -187,6 +189,20 @@
             await self._compact()
         self._writer = None
 
+    async def _write(self, batch: _Batch) -> None:
+        """Write a batch; with all claims if an error made the file unusable."""
+        if self._file.is_usable:
+            await asyncio.to_thread(self._file.append, batch.messages)
+            return
+        live = self._live_claims()
+        await asyncio.to_thread(self._file.rewrite, self._file.header, live)
+        log.info('Wrote the claims file anew after an error.')
+
+    @property
+    def _needs_rewrite(self) -> bool:
+        """Whether the newest write failed and no other one is queued."""
+        return self._next_batch is None and not self._file.is_usable
+
     def _remove_expired(self, now: float) -> None:
         """Remove expired claims."""
         expired = [
--- a/lycheespar/control/claims/claims_file.py
+++ b/lycheespar/control/claims/claims_file.py
@@ -12,6 +12,8 @@
 
 from lycheespar.control.messages import Claim, Release
 from lycheespar.control.storage.files import (
+    is_open_file,
+    reopen_for_append,
     replace_file,
     storage_error,
     write_all,
@@ -49,7 +51,8 @@
     """Append-only file of claims and releases.
 
     A damaged file is renamed, and a new one created whose header says that
-    claims may be missing.
+    claims may be missing. After a failed write, the content is unknown; the
+    file must be rewritten before it is used again.
 
     Parameters
     ----------
@@ -64,12 +67,21 @@
         The file can't be used.
     """
 
-    __slots__ = ('_file', '_loaded', '_path', '_usable', 'header', 'records')
+    __slots__ = (
+        '_closed',
+        '_file',
+        '_loaded',
+        '_path',
+        '_usable',
+        'header',
+        'records',
+    )
 
     def __init__(self, path: Path, header: FileHeader) -> None:
         """Load or create the file and open it for appending."""
         self._path = path
         self._usable = True
+        self._closed = False
         self.records = 0
         self._loaded: list[Claim | Release] = []
         self.header = header
@@ -79,6 +91,11 @@
             self._create(header, ())
         self._file = os.open(path, os.O_WRONLY | os.O_APPEND)
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether messages can be appended, as far as is known."""
+        return self._usable
+
     def read(self) -> Iterator[Claim | Release]:
         """Return the loaded messages; empty from the second call on."""
         stored, self._loaded = self._loaded, []
@@ -90,12 +107,11 @@
         Raises
         ------
         StorageError
-            The write failed; all later appends fail too.
+            The write failed; so do all others until the file is rewritten.
         """
+        self._check_open()
         if not self._usable:
-            raise StorageError(
-                'the claims file is unusable after an error; restart this host',
-            )
+            raise StorageError('the claims file is unusable after an error')
         encoded = b''.join(
             encode_record(_encoder.encode(message)) for message in messages
         )
@@ -115,16 +131,27 @@
         StorageError
             The write failed; the old file is unchanged.
         """
-        self._create(header, claims)
-        os.close(self._file)
-        self._file = os.open(self._path, os.O_WRONLY | os.O_APPEND)
+        self._check_open()
+        try:
+            self._create(header, claims)
+        except StorageError:
+            # The new file may have taken the place of the open one already.
+            self._usable = self._usable and is_open_file(self._path, self._file)
+            raise
+        self._usable = False
+        self._file = reopen_for_append(self._path, self._file)
+        self._usable = True
 
     def close(self) -> None:
         """Close the file."""
-        if self._usable:
-            self._usable = False
+        if not self._closed:
+            self._closed = True
             os.close(self._file)
 
+    def _check_open(self) -> None:
+        if self._closed:
+            raise StorageError('the claims file is closed')
+
     def _create(self, header: FileHeader, claims: Iterable[Claim]) -> None:
         records = [
             encode_record(_encoder.encode(record))
--- a/lycheespar/control/storage/files.py
+++ b/lycheespar/control/storage/files.py
@@ -55,6 +55,30 @@
         raise storage_error(error) from error
 
 
+def is_open_file(path: Path, opened: int) -> bool:
+    """Whether a path still names the file of an open file descriptor."""
+    try:
+        return os.path.samestat(path.stat(), os.fstat(opened))
+    except OSError:
+        return False
+
+
+def reopen_for_append(path: Path, opened: int) -> int:
+    """Open a file that was replaced, and close the descriptor of the old one.
+
+    Raises
+    ------
+    StorageError
+        The file can't be opened; the old descriptor stays open.
+    """
+    try:
+        reopened = os.open(path, os.O_WRONLY | os.O_APPEND)
+    except OSError as error:
+        raise storage_error(error) from error
+    os.close(opened)
+    return reopened
+
+
 def reserve(path: Path, size: int) -> None:
     """Reserve disk space for the next replacement of a file.
 
--- a/lycheespar/control/storage/journal.py
+++ b/lycheespar/control/storage/journal.py
@@ -12,6 +12,8 @@
 
 from lycheespar.control.state.entries import LogEntry
 from lycheespar.control.storage.files import (
+    is_open_file,
+    reopen_for_append,
     replace_file,
     storage_error,
     write_all,
@@ -28,6 +30,9 @@
 class Journal:
     """Log entries in a file; each append is synced before it returns.
 
+    After an error that leaves the stored content unknown, the file is not used
+    any more: the next change first writes all entries to a new file.
+
     Parameters
     ----------
     path : Path
@@ -44,12 +49,20 @@
         A record is damaged that is not just a torn write at the end.
     """
 
-    __slots__ = ('_end_offsets', '_file', '_path', '_usable', 'entries')
+    __slots__ = (
+        '_closed',
+        '_end_offsets',
+        '_file',
+        '_path',
+        '_usable',
+        'entries',
+    )
 
     def __init__(self, path: Path) -> None:
         """Read the entries and remove a torn write at the end."""
         self._path = path
         self._usable = True
+        self._closed = False
         self.entries: list[LogEntry] = []
         self._end_offsets: list[int] = []
         if not path.exists():
@@ -63,16 +76,22 @@
             log.warning("Removed a torn write at the end of '{}'.", path.name)
             self._truncate_file(self._end_offset)
 
-    def slice_within(
-        self, start: int, limit: int, max_bytes: int
-    ) -> list[LogEntry]:
-        """Return entries from a position on, up to a number and a size.
-
-        At least one entry is returned, if there is one.
+    def stop_within(self, start: int, stop: int | None, max_bytes: int) -> int:
+        """Return a stop position so that entries from `start` have a size.
+
+        Parameters
+        ----------
+        start : int
+            Position of the first entry, which is always included.
+        stop : int | None
+            Latest stop position.
+        max_bytes : int
+            Largest size of further entries together with the first one.
         """
         last_byte = self.size_of_first(start) + max_bytes
-        stop = bisect.bisect_right(self._end_offsets, last_byte, start)
-        return self.entries[start : min(max(stop, start + 1), start + limit)]
+        found = bisect.bisect_right(self._end_offsets, last_byte, start)
+        latest = len(self.entries) if stop is None else stop
+        return min(max(found, start + 1), latest)
 
     def size_of_first(self, count: int) -> int:
         """Return the size in bytes of the given number of first entries."""
@@ -86,9 +105,9 @@
         StorageFullError
             The disk is full; nothing was appended.
         StorageError
-            Writing failed, or an earlier failure made the file unusable.
+            Writing failed, or the file can't be replaced after an error.
         """
-        self._check_usable()
+        self._repair()
         records = [encode_record(_encoder.encode(entry)) for entry in entries]
         end = self._end_offset
         try:
@@ -104,7 +123,7 @@
 
     def truncate(self, count: int) -> None:
         """Keep only the given number of entries from the start."""
-        self._check_usable()
+        self._repair()
         self.entries = self.entries[:count]
         self._end_offsets = self._end_offsets[:count]
         self._truncate_file(self._end_offset)
@@ -116,13 +135,21 @@
         ------
         StorageFullError
             The disk is full; the old entries are kept.
+        StorageError
+            Writing failed; the old entries are kept.
         """
-        self._check_usable()
+        self._check_open()
         kept = list(entries)
         records = [encode_record(_encoder.encode(entry)) for entry in kept]
-        replace_file(self._path, b''.join(records))
-        os.close(self._file)
-        self._file = os.open(self._path, os.O_WRONLY | os.O_APPEND)
+        try:
+            replace_file(self._path, b''.join(records))
+        except StorageError:
+            # The new file may have taken the place of the open one already.
+            self._usable = self._usable and is_open_file(self._path, self._file)
+            raise
+        self._usable = False
+        self._file = reopen_for_append(self._path, self._file)
+        self._usable = True
         self.entries = kept
         self._end_offsets = []
         for record in records:
@@ -130,9 +157,20 @@
 
     def close(self) -> None:
         """Close the file."""
-        self._usable = False
+        self._closed = True
         os.close(self._file)
 
+    def is_writable(self) -> bool:
+        """Whether entries can be appended, as far as is known.
+
+        Replaces the file if an error has made it unusable.
+        """
+        try:
+            self._repair()
+        except StorageError:
+            return False
+        return True
+
     @property
     def _end_offset(self) -> int:
         return self._end_offsets[-1] if self._end_offsets else 0
@@ -155,13 +193,19 @@
             os.fsync(self._file)
         except OSError as error:
             self._usable = False
-            raise StorageError(f'sync failed: {error}') from error
+            raise storage_error(error) from error
 
-    def _check_usable(self) -> None:
-        if not self._usable:
-            raise StorageError(
-                'the log is unusable after an error; restart this host'
-            )
+    def _check_open(self) -> None:
+        if self._closed:
+            raise StorageError('the log is closed')
+
+    def _repair(self) -> None:
+        """Write all entries to a new file if the present one is unusable."""
+        self._check_open()
+        if self._usable:
+            return
+        self.rewrite(self.entries)
+        log.warning("Wrote '{}' anew after an error.", self._path.name)
 
 
 def _decode(content: bytes, name: str) -> LogEntry:
--- a/lycheespar/control/storage/storage.py
+++ b/lycheespar/control/storage/storage.py
@@ -146,6 +146,11 @@
         stats = os.statvfs(self._folder)
         return stats.f_bavail * stats.f_frsize > _MIN_FREE_BYTES
 
+    @property
+    def accepts_changes(self) -> bool:
+        """Whether changes can be stored, as far as is known."""
+        return self.has_free_space and self._journal.is_writable()
+
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry; None if the entry isn't stored."""
         if index == self._base_index:
@@ -154,21 +159,28 @@
             return self._journal.entries[index - self._base_index - 1].term
         return None
 
-    def entries(self, first: int, limit: int | None = None) -> list[LogEntry]:
-        """Return entries from an index on, which must be after the snapshot."""
-        start = first - self._base_index - 1
-        stop = None if limit is None else start + limit
-        return self._journal.entries[start:stop]
-
-    def entries_within(
-        self, first: int, limit: int, max_bytes: int
+    def entries(
+        self,
+        first: int,
+        limit: int | None = None,
+        max_bytes: int | None = None,
     ) -> list[LogEntry]:
-        """Return entries from an index on, up to a number and a stored size.
-
-        At least one entry is returned, if there is one.
+        """Return entries from an index on, which must be after the snapshot.
+
+        Parameters
+        ----------
+        first : int
+            Index of the first entry.
+        limit : int | None
+            Largest number of entries.
+        max_bytes : int | None
+            Largest stored size of the entries, if there is more than one.
         """
         start = first - self._base_index - 1
-        return self._journal.slice_within(start, limit, max_bytes)
+        stop = None if limit is None else start + limit
+        if max_bytes is not None:
+            stop = self._journal.stop_within(start, stop, max_bytes)
+        return self._journal.entries[start:stop]
 
     def bytes_until(self, index: int) -> int:
         """Return the stored size of the entries up to an index, in bytes."""
@@ -179,8 +191,8 @@
 
         Raises
         ------
-        StorageFullError
-            The disk is full; nothing was appended.
+        StorageError
+            The entries can't be stored; nothing was appended.
         """
         self._journal.append(entries)
 
