Control: take over a stored state even if the voters' index is not saved

A fault beside the report on full disks: a control host that lags far behind stored the leader's state, and failed before it took it over if its disk filled up before the voters' index was saved. Its log and its state then disagreed on positions, so that later entries were read at wrong ones. A commit that failed there woke none of those who waited for it.

The state is taken over as soon as it is stored. The index is saved with the next commit if that fails; until then a restart knows fewer entries as committed, which is safe.

--- a/lycheespar/control/agreement/replica.py
+++ b/lycheespar/control/agreement/replica.py
@@ -89,6 +89,7 @@
     __slots__ = (
         '_snapshot_every',
         '_storage',
+        '_voters_index',
         'changed',
         'election_timer_started_at',
         'leader',
@@ -118,6 +119,7 @@
         self.election_timer_started_at = asyncio.get_running_loop().time()
         self._storage = storage
         self._snapshot_every = snapshot_every
+        self._voters_index = storage.identity.voters_index
         self.commit(storage.identity.voters_index)
 
     @property
@@ -176,7 +178,8 @@
         content = FormGroup(group, founders)
         self._storage.save_vote(FIRST_TERM, '')
         self._storage.append([LogEntry(FIRST_INDEX, FIRST_TERM, content)])
-        self._save_voters_index(FIRST_INDEX)
+        identity = replace(self._storage.identity, voters_index=FIRST_INDEX)
+        self._storage.save_identity(identity)
         self.commit(FIRST_INDEX)
         log.info("Formed group '{}' with hosts {}.", group, sorted(founders))
 
@@ -193,8 +196,8 @@
 
         Raises
         ------
-        StorageFullError
-            The disk is full; nothing was appended.
+        StorageError
+            The entries can't be stored; nothing was appended.
         """
         if entries[0].index <= self._storage.last_index:
             self._storage.truncate(entries[0].index)
@@ -213,8 +216,8 @@
             for found in applied
             if isinstance(found.content, FormGroup | ReplaceDisk | RemoveVoter)
         ]
-        if changes_voters:
-            self._save_voters_index(changes_voters[-1])
+        self._voters_index = max(self._voters_index, *changes_voters, 0)
+        self._save_voters_index()
         self._compact()
         self.changed.notify()
 
@@ -238,8 +241,9 @@
     def replace_state(self, state: GroupState) -> None:
         """Replace the state and the log with the state of the leader."""
         self._storage.compact(state)
-        self._save_voters_index(state.index)
         self.state = state
+        self._voters_index = state.index
+        self._save_voters_index()
         self.changed.notify()
 
     def vote_for(self, candidate: str) -> None:
@@ -250,10 +254,21 @@
         """Return a copy of the state."""
         return _STATE_DECODER.decode(_encoder.encode(self.state))
 
-    def _save_voters_index(self, index: int) -> None:
-        """Save the index of the newest committed change of the voters."""
+    def _save_voters_index(self) -> None:
+        """Save the index of the newest committed change of the voters.
+
+        If that fails, the state is as it would be without a restart, and the
+        next commit tries again.
+        """
         identity = self._storage.identity
-        self._storage.save_identity(replace(identity, voters_index=index))
+        if identity.voters_index == self._voters_index:
+            return
+        try:
+            self._storage.save_identity(
+                replace(identity, voters_index=self._voters_index)
+            )
+        except StorageError as error:
+            log.error("Saving the voters' index failed: {}.", error.detail)
 
     def _compact(self) -> None:
         """Replace the applied entries by a snapshot if there are many."""
--- a/lycheespar/tests/control/agreement/disks_tests.py
+++ b/lycheespar/tests/control/agreement/disks_tests.py
@@ -166,6 +166,34 @@
     await accept(hosts, 'second')
 
 
+async def test_state_of_a_leader_survives_a_disk_that_fills_up_meanwhile(
+    hosts, monkeypatch
+):
+    """A state that is stored but not taken over would corrupt later entries."""
+    await hosts.wait_until_settled()
+    lagging = next(host for host in hosts.all if host is not hosts.leader)
+    lagging.crash()
+    for number in range(60):
+        await accept(hosts, str(number))
+
+    def save(storage: Storage, identity: object) -> None:
+        if storage.base_index and storage._folder.name == lagging.name:
+            raise StorageFullError('full')
+        original_save(storage, identity)
+
+    original_save = Storage.save_identity
+    lagging.start()
+    with monkeypatch.context() as patched:
+        patched.setattr(Storage, 'save_identity', save)
+        await until(lambda: lagging.storage.base_index > 20)
+        await accept(hosts, 'meanwhile')
+        await until(lambda: lagging.group.state.revision == 61)
+    await accept(hosts, 'after')
+    await hosts.wait_until_settled()
+    leader = hosts.leader.group.state
+    assert lagging.group.state.configuration == leader.configuration
+
+
 async def test_changes_are_rejected_while_all_disks_are_full(
     hosts, monkeypatch
 ):
