--- a/lycheespar/control/agreement/replica.py
+++ b/lycheespar/control/agreement/replica.py
@@ -40,6 +40,9 @@
 # Size in bytes of the applied entries from which a snapshot replaces them, if
 # it is not larger itself.
 MAX_LOG_BYTES: Final = 4 * 1024 * 1024
+# Bound of the work to apply the log after a restart: the number of entries
+# times the size of the state, as each change is checked against all of it.
+MAX_REPLAYED_BYTES: Final = 64 * 1024 * 1024
 
 _STATE_DECODER: Final = msgspec.msgpack.Decoder(GroupState)
 _encoder = msgspec.msgpack.Encoder()
@@ -271,11 +274,13 @@
             log.error("Saving the voters' index failed: {}.", error.detail)
 
     def _compact(self) -> None:
-        """Replace the applied entries by a snapshot if there are many."""
+        """Replace the applied entries by a snapshot if that is due."""
         applied = self.state.index - self._storage.base_index
-        applied_bytes = self._storage.bytes_until(self.state.index)
-        limit_bytes = max(MAX_LOG_BYTES, self._storage.snapshot_bytes)
-        if applied < self._snapshot_every and applied_bytes < limit_bytes:
+        if applied < self._snapshot_every and not _is_costly_to_apply(
+            applied,
+            self._storage.bytes_until(self.state.index),
+            self._storage.snapshot_bytes,
+        ):
             return
         try:
             self._storage.compact(self.state)
@@ -283,3 +288,12 @@
             raise
         except StorageError as error:
             log.error('Saving the snapshot failed: {}.', error.detail)
+
+
+def _is_costly_to_apply(
+    entries: int, entries_bytes: int, snapshot_bytes: int
+) -> bool:
+    """Whether entries take much space, or time to apply to a snapshot."""
+    if entries_bytes >= max(MAX_LOG_BYTES, snapshot_bytes):
+        return True
+    return entries * (snapshot_bytes + entries_bytes) > MAX_REPLAYED_BYTES
--- a/lycheespar/tests/control/storage/storage_tests.py
+++ b/lycheespar/tests/control/storage/storage_tests.py
@@ -9,11 +9,22 @@
 from functools import cache
 from pathlib import Path
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lycheespar.configuration.changes import Command
+from lycheespar.configuration.routes import (
+    Destination,
+    HostRoute,
+    PatchRoutePlan,
+    PutRoutePlan,
+    RoutePlan,
+    ServiceProfile,
+)
 from lycheespar.control.agreement.replica import Replica
+from lycheespar.control.state.entries import LogEntry, Proposal
 from lycheespar.control.storage import files
 from lycheespar.control.storage.records import read_records
 from lycheespar.control.storage.storage import Storage
@@ -188,6 +199,36 @@
     assert _indexes(tmp_path) == [1, 2]
 
 
+async def test_a_restart_does_not_apply_many_changes_to_a_large_state(tmp_path):
+    """A leader that applies them for long loses its quorum meanwhile."""
+    storage = Storage(tmp_path)
+    replica = Replica('control-0', storage, 1000)
+    routes = {
+        f'r-{number}': HostRoute(
+            f'r-{number}',
+            'a.example',
+            f'/{number}/',
+            destinations=(Destination('lending'),),
+            source='x' * 300,
+        )
+        for number in range(1500)
+    }
+    plan = RoutePlan(1, routes, {'lending': ServiceProfile('lending')})
+    changes = [PutRoutePlan(plan, 0)]
+    changes += [PatchRoutePlan(label + 1, label) for label in range(1, 300)]
+    replica.append([log_entry(1)])
+    replica.commit(1)
+    for index, change in enumerate(changes, start=2):
+        sent = Command(str(index), index - 2, 'operator', change)
+        replica.append([LogEntry(index, 1, Proposal(sent))])
+        replica.commit(index)
+    assert replica.state.revision == 300
+    state_bytes = len(msgspec.msgpack.encode(replica.state.configuration))
+    replayed = storage.last_index - storage.base_index
+    assert replayed * state_bytes < 80_000_000
+    storage.close()
+
+
 def test_log_is_not_written_after_it_was_closed(tmp_path):
     """Another process may use the folder then."""
     storage = Storage(tmp_path)
