Soak: real processes at full size, and what callers lose in planned stops

`python -m demo.soak` runs the programs of a scenario as processes, with stops, SIGHUP, changes and a loss of all processes in overlapping series, and checks what callers and targets saw. It grows the emulator and the stand-ins.

--- a/demo/emulate.py
+++ b/demo/emulate.py
@@ -62,11 +62,7 @@
         self.violations: list[str] = []
         self.refused_statuses: dict[str, str] = {}
         self.route_types: dict[str, str] = {}
-        for zone in scenario.zones:
-            self.site.add(zone, 'control')
-            for service in scenario.services:
-                for _ in range(service.targets):
-                    self.site.add(zone, 'node', service.name)
+        add_machines(self.site, scenario)
         for target in self.site.targets:
             target.work_ms = {
                 f'/{class_plan.name}/': class_plan.work_ms
@@ -85,7 +81,7 @@
         await self.site.start()
         try:
             status, _ = await self.site.call_operator_api(
-                'config.put', self._configuration()
+                'config.put', first_configuration(self.scenario)
             )
             assert status == 200, status
             await self.site.wait_until_ready()
@@ -298,43 +294,59 @@
                     f'{attempt_id}: ran, although refused with {status}'
                 )
 
-    def _configuration(self) -> dict[str, Any]:
-        """Return the configuration in the platform's format."""
-        routes = [
-            {
-                'resource_type': 'routes',
-                'metadata': {'name': class_plan.name},
-                'spec': {
-                    'host': HOST,
-                    'path_prefix': f'/{class_plan.name}/',
-                    'route_type': class_plan.kind,
-                    'timeout': f'{class_plan.deadline_ms:.0f}ms',
-                    'target_latency': f'{class_plan.objective_ms:.0f}ms',
-                    'priority': class_plan.priority,
-                    'service': class_plan.service,
-                    'max_attempts': 2,
-                },
-            }
-            for class_plan in self.scenario.classes
-        ]
-        services = [
-            {
-                'resource_type': 'services',
-                'metadata': {'name': service.name},
-                'spec': {
-                    'health_check_path': '/health',
-                    'max_connections': 64,
-                    'cold_start': '0ms',
-                    'coldstart_per_s': 0,
-                },
-            }
-            for service in self.scenario.services
-        ]
-        return {
-            'version': '00000001',
-            'base_version': '00000000',
-            'resources': [*routes, *services],
+
+def add_machines(site: Site, scenario: Scenario) -> None:
+    """Add the machines of a scenario to a site: control hosts and nodes."""
+    zones = scenario.zones
+    hosts = scenario.control_hosts or [1] * len(zones)
+    for index, zone in enumerate(zones):
+        for _ in range(hosts[index]):
+            site.add(zone, 'control')
+        for service in scenario.services:
+            counts = service.targets
+            for _ in range(
+                counts if isinstance(counts, int) else counts[index]
+            ):
+                site.add(zone, 'node', service.name)
+
+
+def first_configuration(scenario: Scenario) -> dict[str, Any]:
+    """Return the first configuration in the platform's format."""
+    routes = [
+        {
+            'resource_type': 'routes',
+            'metadata': {'name': class_plan.name},
+            'spec': {
+                'host': HOST,
+                'path_prefix': f'/{class_plan.name}/',
+                'route_type': class_plan.kind,
+                'timeout': f'{class_plan.deadline_ms:.0f}ms',
+                'target_latency': f'{class_plan.objective_ms:.0f}ms',
+                'priority': class_plan.priority,
+                'service': class_plan.service,
+                'max_attempts': 2,
+            },
+        }
+        for class_plan in scenario.classes
+    ]
+    services = [
+        {
+            'resource_type': 'services',
+            'metadata': {'name': service.name},
+            'spec': {
+                'health_check_path': '/health',
+                'max_connections': 64,
+                'cold_start': '0ms',
+                'coldstart_per_s': 0,
+            },
         }
+        for service in scenario.services
+    ]
+    return {
+        'version': '00000001',
+        'base_version': '00000000',
+        'resources': [*routes, *services],
+    }
 
 
 async def _run(scenario: Scenario, folder: Path) -> Emulation:
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -37,14 +37,14 @@
     ----------
     name : str
         Name of the service.
-    targets : int
-        Number of targets in each data centre.
+    targets : int | list[int]
+        Number of targets in each data centre, or one number for each.
     slots : int
         Requests that each target accepts at once.
     """
 
     name: str
-    targets: int = 1
+    targets: int | list[int] = 1
     slots: int = 8
 
 
@@ -66,6 +66,11 @@
         milliseconds.
     priority : int
         Priority of the route, as in the platform's configuration.
+    body_bytes, answer_bytes : int
+        Mean size of the requests' bodies and of the answers, in bytes.
+    calls, call_count : str, int
+        Class of the calls that a run makes, and their number; no calls if the
+        name is empty.
     """
 
     name: str
@@ -76,6 +81,10 @@
     objective_ms: float
     deadline_ms: float
     priority: int = 2
+    body_bytes: int = 0
+    answer_bytes: int = 400
+    calls: str = ''
+    call_count: int = 0
 
 
 class FaultPlan(msgspec.Struct, forbid_unknown_fields=True):
@@ -111,6 +120,8 @@
         Services, each with targets in all data centres.
     classes : list[ClassPlan]
         Classes of requests.
+    control_hosts : list[int]
+        Number of control hosts in each data centre; one each if empty.
     seed : int
         Seed of the random numbers.
     noise : Noise
@@ -123,6 +134,7 @@
     zones: list[str]
     services: list[ServicePlan]
     classes: list[ClassPlan]
+    control_hosts: list[int] = []
     seed: int = 1
     noise: Noise = Noise()
     faults: list[FaultPlan] = []
--- /dev/null
+++ b/demo/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak: real processes under faults, checked from outside."""
--- /dev/null
+++ b/demo/soak/callers.py
@@ -0,0 +1,124 @@
+"""Callers' connections to one node, used in different ways."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import cast
+
+from demo.soak.answers import Answer, AnswerParser
+from demo.soak.exchanges import CALLER_GAVE_UP, Exchange
+from demo.soak.targets import answer_body
+from standins.platform import RESPONSE_SEAL_HEADER
+
+_SEAL = RESPONSE_SEAL_HEADER.lower()
+
+
+class CallerConnection(asyncio.Protocol):
+    """A connection on which a caller sends requests and awaits answers.
+
+    Attributes
+    ----------
+    usable : bool
+        Whether a further request may be sent on it.
+    idle_since : float
+        Time in seconds since which no answer is awaited.
+    """
+
+    def __init__(self) -> None:
+        """Create a connection that is not open yet."""
+        self._loop = asyncio.get_running_loop()
+        self._parser = AnswerParser()
+        self._waiting: deque[tuple[Exchange, asyncio.Future[Answer | None]]]
+        self._waiting = deque()
+        self._transport: asyncio.Transport | None = None
+        self.usable = True
+        self.idle_since = self._loop.time()
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that are not answered yet."""
+        return len(self._waiting)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast('asyncio.Transport', transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Assign complete answers to the requests in their order."""
+        for answer in self._parser.feed(data):
+            if not self._waiting:
+                self.usable = False
+                return
+            if answer.headers.get('connection', '').lower() == 'close':
+                self.usable = False
+            self._finish(answer, '')
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End all requests that are not answered."""
+        self.usable = False
+        answer = None if exc else self._parser.end()
+        if answer is not None and self._waiting:
+            self._finish(answer, '')
+        part = ' in an answer' if self._parser.partial else ''
+        while self._waiting:
+            self._finish(None, f'{type(exc).__name__ if exc else "EOF"}{part}')
+
+    async def send(
+        self, exchange: Exchange, head: bytes, pieces: list[bytes]
+    ) -> Answer | None:
+        """Send a request in pieces; return its answer, None if there is none.
+
+        The connection is closed if there is none before the deadline.
+        """
+        future: asyncio.Future[Answer | None] = self._loop.create_future()
+        self._waiting.append((exchange, future))
+        try:
+            async with asyncio.timeout_at(exchange.deadline):
+                await self._write(exchange, head, pieces)
+                return await future
+        except TimeoutError:
+            self.usable = False
+            exchange.ending = exchange.ending or CALLER_GAVE_UP
+            exchange.ended_at = exchange.ended_at or self._loop.time()
+            self.close()
+            return None
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+    async def _write(
+        self, exchange: Exchange, head: bytes, pieces: list[bytes]
+    ) -> None:
+        assert self._transport is not None
+        self._transport.write(head)
+        for index, piece in enumerate(pieces):
+            if index:
+                await asyncio.sleep(0.03)
+            if exchange.ended_at:
+                return
+            self._transport.write(piece)
+        exchange.last_byte_at = self._loop.time()
+
+    def _finish(self, answer: Answer | None, ending: str) -> None:
+        exchange, future = self._waiting.popleft()
+        self.idle_since = self._loop.time()
+        exchange.ended_at = exchange.ended_at or self._loop.time()
+        if answer is None:
+            exchange.ending = exchange.ending or ending
+        else:
+            exchange.status = answer.status
+            seal = answer.headers.get(_SEAL, '')
+            exchange.sealed = bool(seal)
+            exchange.valid = _is_valid(exchange, answer, seal)
+        if not future.done():
+            future.set_result(answer)
+
+
+def _is_valid(exchange: Exchange, answer: Answer, seal: str) -> bool:
+    if answer.status != 200:
+        return not seal or seal.endswith(exchange.attempt)
+    expected = answer_body(exchange.attempt, exchange.size)
+    return seal.endswith(f'.{exchange.attempt}') and answer.body == expected
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -76,6 +76,7 @@
                 [sys.executable, '-m', 'lycheespar', f'hosted-{self.role}'],
                 stdout=log,
                 stderr=log,
+                cwd=self.site.program_folder,
                 env={'PATH': os.environ['PATH'], 'LYCHEESPAR_SETTINGS': path},
             )
         self.first_start = False
@@ -98,8 +99,17 @@
 
     def terminate(self) -> None:
         """Send the program SIGTERM, for a graceful stop."""
+        self.send(signal.SIGTERM)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send the program a signal."""
         assert self._child is not None
-        self._child.send_signal(signal.SIGTERM)
+        self._child.send_signal(number)
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code of the program; None while it runs."""
+        return None if self._child is None else self._child.poll()
 
     @property
     def ended(self) -> bool:
@@ -137,7 +147,7 @@
             },
             'terms': {
                 'fault_tolerance': {'machines': 1},
-                'bounds': {'grace_period': '4s'},
+                'bounds': {'grace_period': f'{self.site.grace_s}s'},
             },
         }
 
@@ -153,6 +163,8 @@
         What was wrong with the headers of requests.
     teams : set[str]
         Names of the tenants that requests named.
+    slots : int
+        Requests that it says it can run at once.
     work_s : float
         Time of a request in seconds.
     work_ms : dict[str, float]
@@ -178,6 +190,7 @@
         self.runs: Counter[str] = Counter()
         self.request_errors: list[str] = []
         self.teams: set[str] = set()
+        self.slots = 8
         self.work_s = 0.01
         self.work_ms: dict[str, float] = {}
         self.slowdown = 1.0
@@ -215,7 +228,7 @@
                 'service': self.machine.service,
                 'version': 'v1',
                 'zone': self.machine.zone,
-                'slots': 8,
+                'slots': self.slots,
             },
             'status': {
                 'state': self.state,
@@ -241,7 +254,9 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         load = {
-            SERVER_LOAD_HEADER: f'{self._running},0,8,{self.slowdown * 100:.0f}'
+            SERVER_LOAD_HEADER: (
+                f'{self._running},0,{self.slots},{self.slowdown * 100:.0f}'
+            )
         }
         if request.path == '/health':
             instance = {'X-Lycheespar-Instance-Id': self.identity}
@@ -290,13 +305,24 @@
 
 
 class Site:
-    """All machines and targets, and a client of the operators' API."""
+    """All machines and targets, and a client of the operators' API.
+
+    Attributes
+    ----------
+    program_folder : Path | None
+        Folder in which the programs start, such as a checkout of another
+        commit; the current folder if None.
+    grace_s : int
+        Time in seconds between SIGTERM and SIGKILL that the programs are told.
+    """
 
     def __init__(self, folder: Path) -> None:
         """Create a site without machines and choose its ports."""
         self.folder = folder
         self.machines: list[Machine] = []
         self.targets: list[Target] = []
+        self.program_folder: Path | None = None
+        self.grace_s = 4
         names = ('control_plane', 'outbound', 'ready_addr', 'internal')
         self.ports = {
             name: free_port(f'{_NETWORK}.1') + offset * 20
