Ingress: a stopping node answers all requests that it has read

An upload whose body still arrived when idle connections were closed was not read on, and was cut at the end of the stop.

Cause: from SIGTERM on, each answer told the caller to close and ended the connection, unless calls behind it had been started already. Requests behind one that is not idempotent are not started early, so they were dropped, though they had been read. Once connections are closed, aiohttp ignores all further bytes, also those of a body.

An answer is now the last one on its connection only if no request waits behind it. Requests that arrive once the node closes its connections are refused (503, not run) in place of being ignored, and bodies are read to their end.

Three tests of ingress/pipelining_tests.py failed before. One of them replaces test_a_stop_answers_all_requests_that_were_passed_on, which demanded that the request that arrives last ends without an answer: that is the fault. The new one checks the same answers, and that this request is refused and never passed on.

--- a/demo/soak/exchanges.py
+++ b/demo/soak/exchanges.py
@@ -139,7 +139,8 @@
     def _is_lost(self, exchange: Exchange, runs: list[Run]) -> bool:
         if exchange.status:
             return self._broken_off(exchange, runs)
-        if exchange.ending == CALLER_GAVE_UP:
+        gave_up = exchange.ending == CALLER_GAVE_UP
+        if gave_up or exchange.ended_at >= exchange.deadline:
             return False
         passed_on = any(run.began_at <= exchange.ended_at for run in runs)
         late = (
--- a/lycheespar/ingress/connection.py
+++ b/lycheespar/ingress/connection.py
@@ -69,11 +69,11 @@
 
     __slots__ = (
         '_arrival_times',
-        '_close_after_early_calls',
+        '_closing',
         '_current',
         '_early_calls',
         '_early_requests',
-        '_ending',
+        '_last_answer_begun',
     )
 
     def __init__(
@@ -92,13 +92,18 @@
         # Requests whose calls were started early, by the id of their message.
         self._early_requests: dict[int, CallerRequest] = {}
         self._current: CallerRequest | None = None
-        self._close_after_early_calls = False
-        self._ending = False
+        self._closing = False
+        self._last_answer_begun = False
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being answered or its call was started."""
-        return self._current is not None or bool(self._early_requests)
+        """Whether a request has been read that is not answered yet."""
+        return self._current is not None or bool(self._messages)
+
+    @property
+    def closing(self) -> bool:
+        """Whether the connection ends as soon as all requests are answered."""
+        return self._closing
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set socket options by which the system detects a vanished caller."""
@@ -122,31 +127,29 @@
         self._early_requests.clear()
 
     def close(self) -> None:
-        """Accept no further request; close an idle connection at once.
+        """Close the connection once all requests on it are answered.
 
-        Requests whose calls were started are answered first. The base class
-        would leave a connection open that does not wait for a request yet, and
-        ignore requests that still arrive on it.
+        The base class would leave a connection open that does not wait for a
+        request yet, and ignore requests and bodies that still arrive on a busy
+        one, so that they end without an answer.
         """
-        self._close_after_early_calls = True
-        if self._early_requests:
+        self._closing = True
+        if self.busy:
             return
         super().close()
-        idle = self._current is None and not self._messages
-        if idle and self.transport is not None:
+        if self.transport is not None:
             self.transport.close()
 
     def end_with_current_answer(self) -> bool:
-        """Start no further early call.
+        """Make the current answer the last one if no request waits behind it.
 
         Returns
         -------
         bool
-            Whether the current answer may be the last one on the connection,
-            as the calls of all requests behind it have not been started.
+            Whether the current answer is the last one on the connection.
         """
-        self._ending = True
-        return not self._early_requests
+        self._last_answer_begun = not self._messages
+        return self._last_answer_begun
 
     def handle_error(
         self,
@@ -197,14 +200,12 @@
         self._current = request
         if self._messages:
             self._start_early_calls()
-        if self._close_after_early_calls:
-            self.close()
         return request
 
     def _start_early_calls(self) -> None:
         """Start the calls of waiting requests that may overtake others."""
         before = self._current
-        if self._close_after_early_calls or self._ending:
+        if self._last_answer_begun:
             return
         if before is not None and not self._may_overtake(before):
             return
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -138,6 +138,7 @@
         ends_at = loop.time() + linger_s
         while self._server.connections and loop.time() < ends_at:
             await asyncio.sleep(POLL_INTERVAL_S)
+        self._stop_admission.close(loop.time())
         self._server.pre_shutdown()
         while self._server.busy:
             await asyncio.sleep(POLL_INTERVAL_S)
@@ -159,11 +160,7 @@
 
     async def _handle(self, request: CallerRequest) -> web.StreamResponse:
         response = await self._answer(request)
-        if (
-            self._draining
-            and not response.prepared
-            and _ends_connection(request)
-        ):
+        if not response.prepared and self._ends_connection(request):
             response.force_close()
         return response
 
@@ -184,7 +181,7 @@
             return await send_answer(
                 request,
                 answer,
-                close_connection=self._draining and _ends_connection(request),
+                close_connection=self._ends_connection(request),
             )
         except RequestError as error:
             events.write(AnswerTruncated(request_id, error.code))
@@ -194,6 +191,15 @@
             self._record_duration(request)
             await close_stream(answer.body)
 
+    def _ends_connection(self, request: CallerRequest) -> bool:
+        """Return whether an answer is the last one on its connection."""
+        connection = request.protocol
+        return (
+            isinstance(connection, CallerConnection)
+            and (self._draining or connection.closing)
+            and connection.end_with_current_answer()
+        )
+
     def _record_duration(self, request: CallerRequest) -> None:
         """Record how long a request took that a target may have run."""
         now = asyncio.get_running_loop().time()
@@ -222,6 +228,9 @@
         )
 
     async def _run_call(self, request: CallerRequest) -> Answer:
+        self._stop_admission.check_arrival(
+            request.read_at, asyncio.get_running_loop().time()
+        )
         call = await self._call_builder.build_call(request)
         self._stop_admission.check(
             call.request_class,
@@ -247,12 +256,3 @@
                 ),
             )
         return answer
-
-
-def _ends_connection(request: CallerRequest) -> bool:
-    """Return whether an answer is the last one on a draining connection."""
-    connection = request.protocol
-    return (
-        isinstance(connection, CallerConnection)
-        and connection.end_with_current_answer()
-    )
--- a/lycheespar/ingress/stop_admission.py
+++ b/lycheespar/ingress/stop_admission.py
@@ -18,16 +18,24 @@
     A request is taken if its deadline is before the end of the stop, or if
     requests of its class have recently been answered well within what is left.
     Any other request could be cut off at the end, while a target runs it, so it
-    is refused at once.
+    is refused at once. So are all requests that arrive once the node closes its
+    connections.
 
     Times are in seconds of the event loop's clock.
     """
 
-    __slots__ = ('_ends_at', '_former', '_longest', '_rotated_at')
+    __slots__ = (
+        '_closed_at',
+        '_ends_at',
+        '_former',
+        '_longest',
+        '_rotated_at',
+    )
 
     def __init__(self) -> None:
         """Take all requests; `begin` announces a stop."""
         self._ends_at = float('inf')
+        self._closed_at = float('inf')
         # Longest durations by class, in this window and in the one before.
         self._longest: dict[str, float] = {}
         self._former: dict[str, float] = {}
@@ -37,6 +45,24 @@
         """Announce that the node stops within a time limit in seconds."""
         self._ends_at = now + limit_s
 
+    def close(self, now: float) -> None:
+        """Refuse all requests that arrive from now on."""
+        self._closed_at = min(self._closed_at, now)
+
+    def check_arrival(self, read_at: float, now: float) -> None:
+        """Check that a request arrived before connections are closed.
+
+        Raises
+        ------
+        DrainingError
+            The request arrived later.
+        """
+        if read_at >= self._closed_at:
+            raise DrainingError(
+                'the node is closing its connections',
+                retry_after_s=self._left_s(now),
+            )
+
     def record(self, request_class: str, duration_s: float, now: float) -> None:
         """Record how long a request of a class took, in seconds."""
         if now - self._rotated_at > WINDOW_S:
@@ -55,14 +81,20 @@
         """
         if deadline <= self._ends_at:
             return
-        left_s = self._ends_at - now
+        left_s = self._left_s(now)
         if DURATION_MARGIN * self._longest_s(request_class) < left_s:
             return
         raise DrainingError(
             'the node is stopping and could not finish this request',
-            retry_after_s=max(left_s, 0),
+            retry_after_s=left_s,
         )
 
+    def _left_s(self, now: float) -> float:
+        """Return the time in seconds until the end of the stop; 0 if over."""
+        if self._ends_at == float('inf'):
+            return 0
+        return max(self._ends_at - now, 0)
+
     def _longest_s(self, request_class: str) -> float:
         """Return the longest recent duration; infinite if none is known."""
         return max(
--- a/lycheespar/tests/ingress/pipelining_tests.py
+++ b/lycheespar/tests/ingress/pipelining_tests.py
@@ -281,7 +281,8 @@
         assert await caller.is_closed()
 
 
-async def test_a_stop_answers_all_requests_that_were_passed_on():
+async def test_a_stop_answers_all_requests_that_were_read():
+    """The connection must not end without an answer to the last one."""
     dispatch = GatedDispatch()
     paths = _gets(4)
     async with _connected(dispatch) as caller:
@@ -292,19 +293,52 @@
         await asyncio.sleep(0.05)
         caller.send(f'GET {paths[3]}')
         dispatch.release(*paths)
-        answers = [await caller.receive() for _ in range(3)]
-        assert [body for _, _, body in answers] == [
+        answers = [await caller.receive() for _ in range(4)]
+        assert [status for status, _, _ in answers] == [200, 200, 200, 503]
+        assert [body for _, _, body in answers[:3]] == [
             path.encode() for path in paths[:3]
         ]
         closing = [
             'connection: close' in str(head).lower() for _, head, _ in answers
         ]
-        assert closing == [False, False, True]
+        assert closing == [False, False, False, True]
         assert await caller.is_closed()
         await stopping
     assert dispatch.paths == paths[:3]
 
 
+async def test_a_stop_answers_requests_behind_one_that_is_not_idempotent():
+    """They were read, but ended with the connection after the first answer."""
+    dispatch = GatedDispatch()
+    async with _connected(dispatch) as caller:
+        caller.send('POST /book', 'GET /get/1', 'POST /pay')
+        await dispatch.wait_for('/book')
+        caller.server.drain(60)
+        dispatch.release('/book', '/get/1', '/pay')
+        answers = [await caller.receive() for _ in range(3)]
+        bodies = [body for _, _, body in answers]
+        assert bodies == [b'/book', b'/get/1', b'/pay']
+        assert b'connection: close' in answers[2][1].lower()
+        assert await caller.is_closed()
+
+
+async def test_a_stop_answers_a_request_whose_body_still_arrives():
+    """The rest of the body must be read after idle connections are closed."""
+    dispatch = GatedDispatch()
+    dispatch.release('/book')
+    async with _connected(dispatch) as caller:
+        caller.send('POST /book', headers='Content-Length: 4\r\n')
+        caller.writer.write(b'ab')
+        await asyncio.sleep(0.05)
+        caller.server.drain(60)
+        stopping = asyncio.create_task(caller.server.wait_until_idle(0))
+        await asyncio.sleep(0.05)
+        caller.writer.write(b'cd')
+        assert await caller.bodies(1) == [b'/book']
+        assert await caller.is_closed()
+        await stopping
+
+
 @pytest.mark.parametrize('steps', range(8))
 async def test_a_stop_does_not_cut_a_request_that_was_just_read(steps):
     dispatch = GatedDispatch()
--- a/lycheespar/tests/ingress/stop_admission_tests.py
+++ b/lycheespar/tests/ingress/stop_admission_tests.py
@@ -76,3 +76,15 @@
         admission.record('long', 0.1, window * (WINDOW_S + 1))
     admission.begin(4 * WINDOW_S, STOP_S)
     assert _is_taken(admission, 'long', 4 * WINDOW_S + 1, 10)
+
+
+def test_requests_that_arrive_once_connections_are_closed_are_refused(
+    admission,
+):
+    """Without an answer, their callers could not know that they did not run."""
+    admission.begin(0, STOP_S)
+    admission.close(4)
+    admission.check_arrival(3.9, 4.5)
+    with pytest.raises(DrainingError) as caught:
+        admission.check_arrival(4, 4.5)
+    assert caught.value.retry_after_s == 1.5
