Node: a stop during the start opens no port

A node that got SIGTERM while it waited for its configuration went on starting for up to 5 s, then opened its port, and began the grace period of its drain only then. Requests that callers sent it in the last second before SIGKILL were cut with the process.

Evidence: the new test fails on the code before (the port opens after SIGTERM).

A start now ends at SIGTERM, the port stays closed, and a node that never opened it does not wait for callers to notice.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -229,12 +229,9 @@
         self._telemetry.add_gauges(partial(follower_gauges, follower))
         follower.start()
         self._rollouts.start_reporting(lambda: directory.links)
-        await self._start()
-        tune_garbage_collector()
-        self._serving = True
-        log.info("Node '{}' is serving.", self._settings.name)
-        await stopped.wait()
-        self._serving = False
+        await self._start(stopped)
+        if not stopped.is_set():
+            await self._serve(stopped)
         await self._stop()
         self._rollouts.stop_reporting()
         follower.stop()
@@ -307,8 +304,19 @@
             self._configuration.key_retention_s,
         )
 
-    async def _start(self) -> None:
-        """Join the cluster, then open the port for callers."""
+    async def _serve(self, stopped: asyncio.Event) -> None:
+        """Open the port for callers; serve until the event is set."""
+        await self._ingress_server.start(self._settings.http)
+        self._accepts_callers = True
+        self._publish_target()
+        tune_garbage_collector()
+        self._serving = True
+        log.info("Node '{}' is serving.", self._settings.name)
+        await stopped.wait()
+        self._serving = False
+
+    async def _start(self, stopped: asyncio.Event) -> None:
+        """Join the cluster, and wait until callers can be served."""
         settings = self._settings
         await self._telemetry.start()
         await self._gossip.start()
@@ -325,10 +333,8 @@
             self._gossip,
             JoinWait(settings.name, self._members),
             settings.stale_after_s,
+            stopped,
         )
-        await self._ingress_server.start(settings.http)
-        self._accepts_callers = True
-        self._publish_target()
 
     async def _stop(self) -> None:
         """Finish the requests in progress, then close all ports."""
--- a/lycheespar/drain.py
+++ b/lycheespar/drain.py
@@ -93,7 +93,8 @@
         await self._channels.stop()
 
     async def _finish_requests(self) -> None:
-        await asyncio.sleep(self._spread_s)
+        if self._ingress.listening:
+            await asyncio.sleep(self._spread_s)
         await self._ingress.close_port()
         await self._ingress.wait_until_idle(IDLE_LINGER_S)
         while not self._executor.idle:
@@ -105,17 +106,19 @@
     gossip: Gossip,
     join_wait: JoinWait,
     stale_after_s: float,
+    stopped: asyncio.Event,
 ) -> None:
     """Wait until a starting node has the state that it needs for callers.
 
     Without this wait, the first callers would be refused, because the node
     does not know their service yet, or knows only targets that are about to
     leave. The wait is bounded: a node that reaches no control host opens its
-    port anyway and refuses callers with an error code.
+    port anyway and refuses callers with an error code. It also ends when the
+    node is to stop.
     """
     loop = asyncio.get_running_loop()
     started_at = loop.time()
-    while loop.time() - started_at < START_TIMEOUT_S:
+    while loop.time() - started_at < START_TIMEOUT_S and not stopped.is_set():
         waited_s = loop.time() - started_at
         joined = join_wait.is_over(waited_s, synchronized=gossip.synchronized)
         if joined and configuration.age_s <= stale_after_s:
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -100,6 +100,11 @@
         """Port on which the server listens."""
         return int(self._runner.addresses[0][1])
 
+    @property
+    def listening(self) -> bool:
+        """Whether the port has been opened."""
+        return self._listener is not None
+
     async def start(self, address: Address) -> None:
         """Listen on an address."""
         await self._runner.setup()
--- a/lycheespar/tests/platform/end_to_end_tests.py
+++ b/lycheespar/tests/platform/end_to_end_tests.py
@@ -16,6 +16,7 @@
     route,
     service,
 )
+from standins.cluster import wait_until
 from standins.platform import (
     ATTEMPT_ID_HEADER,
     DEADLINE_HEADER,
@@ -182,6 +183,37 @@
     assert set(statuses) == {200}
 
 
+async def test_a_node_that_is_stopped_while_it_starts_takes_no_requests(
+    tmp_path,
+):
+    """It would be killed at the end of the grace period with its requests."""
+    planned = Site(tmp_path)
+    # Not started, so the node waits for its configuration.
+    planned.add('a', 'control')
+    machine = planned.add('a', 'node', 'records')
+    machine.start()
+    try:
+        await wait_until(lambda: _accepts(machine, 'ready_addr'))
+        assert not await _accepts(machine, 'outbound')
+        machine.terminate()
+        while not machine.ended:
+            assert not await _accepts(machine, 'outbound')
+            await asyncio.sleep(0.02)
+    finally:
+        await planned.stop()
+
+
+async def _accepts(machine: Machine, name: str) -> bool:
+    """Whether a listener of a machine's program accepts connections."""
+    host, port = machine.address(name).split(':')
+    try:
+        _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 async def test_draining_target_gets_no_new_requests(site):
     await _configure(site)
     draining = site.targets[1]
