Commands: SIGHUP does not end a process that starts

A process of the platform that got SIGHUP within its first 0.5 s, before the event loop handles the signal, was ended by it (exit code -1); its caller's settings had changed while it started.

The signal is ignored from the command on; the settings file is read after that, and compared once a second anyway.

--- a/demo/soak/faults.py
+++ b/demo/soak/faults.py
@@ -166,11 +166,13 @@
             machine = self._choose('')
             if machine is None or machine.ended:
                 continue
+            self._busy.add(machine.ip)
             began_at = asyncio.get_running_loop().time()
             self._report('pause', machine=machine.ip)
             machine.send(signal.SIGSTOP)
             await asyncio.sleep(self._random.uniform(0.5, PAUSE_S))
             machine.send(signal.SIGCONT)
+            self._busy.discard(machine.ip)
             self._disrupted(began_at)
 
     async def kills(self) -> None:
@@ -180,11 +182,13 @@
             machine = self._choose('')
             if machine is None:
                 continue
+            self._busy.add(machine.ip)
             began_at = asyncio.get_running_loop().time()
             self._report('kill', machine=machine.ip)
             machine.kill()
             await asyncio.sleep(self._random.uniform(0, 2))
             machine.start()
+            self._busy.discard(machine.ip)
             self._disrupted(began_at)
 
     async def watch(self) -> None:
--- a/lycheespar/__main__.py
+++ b/lycheespar/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import signal
 import sys
 from pathlib import Path
 from typing import Any, Final, TextIO
@@ -73,6 +74,7 @@
 @cli.command('hosted-node', epilog=_HOSTED_HELP)
 def hosted_node() -> None:
     """Run the node beside a target, on the users' platform."""
+    _ignore_reloads()
     from lycheespar.commands.hosted import serve_hosted_node  # noqa: PLC0415
 
     serve_hosted_node()
@@ -81,6 +83,7 @@
 @cli.command('hosted-control', epilog=_HOSTED_HELP)
 def hosted_control() -> None:
     """Run a control host, on the users' platform."""
+    _ignore_reloads()
     from lycheespar.commands.hosted import (  # noqa: PLC0415
         serve_hosted_control,
     )
@@ -148,6 +151,14 @@
     click.echo(msgspec.json.encode(versions) if as_json else __version__)
 
 
+def _ignore_reloads() -> None:
+    """Ignore SIGHUP until the running process handles it.
+
+    The signal would end a process that starts; its settings are read later.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 add_operator_commands(cli)
 
 
