Commands: run without standard streams

A socket could also have got the number of a standard stream, and log lines or dumps would have gone to it.

Closed standard streams are opened on the null device before anything else is opened; logs and crash dumps use the numbers 1 and 2.

Evidence: test_programs_run_without_standard_streams failed before (no control host answers) and passes now.

--- a/lycheespar/__main__.py
+++ b/lycheespar/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import os
 import signal
 import sys
 from pathlib import Path
@@ -19,6 +20,8 @@
 _SETTINGS_HELP: Final = 'SETTINGS is a file of JSON with comments.'
 _EXPLAIN_EXAMPLE: Final = 'Example: lycheespar explain 9c41d07b node-*.log'
 _NOTHING_FOUND_EXIT_CODE: Final = 1
+# Standard input, output and error.
+_STANDARD_STREAMS: Final = 3
 _HOSTED_HELP: Final = (
     'The platform sets the path of the settings file in the environment.'
 )
@@ -51,6 +54,7 @@
 @click.version_option(__version__)
 def cli() -> None:
     """Load balancer for servers whose load shifts in milliseconds."""
+    _open_standard_streams()
 
 
 @cli.command(epilog=_SETTINGS_HELP)
@@ -151,6 +155,20 @@
     click.echo(msgspec.json.encode(versions) if as_json else __version__)
 
 
+def _open_standard_streams() -> None:
+    """Open standard streams that are closed, so that no other file is used.
+
+    A process that is started without them would write its log lines to
+    the first file or socket that it opens.
+    """
+    for descriptor in range(_STANDARD_STREAMS):
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # The lowest free descriptor is taken, which is this one.
+            os.open(os.devnull, os.O_RDWR)
+
+
 def _ignore_reloads() -> None:
     """Ignore SIGHUP until the running process handles it.
 
--- a/lycheespar/commands/serve.py
+++ b/lycheespar/commands/serve.py
@@ -7,12 +7,15 @@
 import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Final
 
 import uvloop
 
 from lycheespar.settings.definitions import ControlSettings, NodeSettings
 from lycheespar.telemetry.logs import configure_logs
 
+STDERR_DESCRIPTOR: Final = 2
+
 Run = Callable[[asyncio.Event], Awaitable[None]]
 
 
@@ -37,7 +40,7 @@
 ) -> None:
     """Set up logging and run a process until SIGTERM or SIGINT."""
     # After a crash in native code, dump the stacks of all threads to stderr.
-    faulthandler.enable()
+    faulthandler.enable(STDERR_DESCRIPTOR)
     configure_logs(
         settings.log_level,
         as_json=settings.log_json,
--- a/lycheespar/telemetry/logs.py
+++ b/lycheespar/telemetry/logs.py
@@ -4,7 +4,6 @@
 
 import os
 import select
-import sys
 import time
 from typing import TYPE_CHECKING, Any, Final
 
@@ -20,6 +19,7 @@
 # Longer lines are truncated: a pipe that is ready for writing accepts this
 # many bytes without blocking.
 MAX_LINE_BYTES: Final = select.PIPE_BUF
+STDOUT_DESCRIPTOR: Final = 1
 _TIME_FORMAT: Final = 'YYYY-MM-DDTHH:mm:ss.SSSZ'
 
 _encoder = msgspec.json.Encoder()
@@ -145,7 +145,7 @@
     logger.remove()
     logger.configure(extra={'part': 'app'})
     logger.add(
-        LineWriter(sys.stdout.fileno(), process, as_json=as_json),
+        LineWriter(STDOUT_DESCRIPTOR, process, as_json=as_json),
         level=level,
         format='{message}',
         filter=RateLimit(),
--- a/lycheespar/tests/platform/end_to_end_tests.py
+++ b/lycheespar/tests/platform/end_to_end_tests.py
@@ -203,6 +203,22 @@
         await planned.stop()
 
 
+async def test_programs_run_without_standard_streams(tmp_path):
+    """They ended, or wrote log lines to the first file that they opened."""
+    planned = Site(tmp_path)
+    planned.without_streams = True
+    planned.add('a', 'control')
+    planned.add('a', 'node', 'records')
+    await planned.start()
+    try:
+        sent = document('00000001', '00000000', route('r-1'), service(), LIMITS)
+        status, _ = await planned.call_operator_api('config.put', sent)
+        assert status == 200
+        await planned.wait_until_node_ready(planned.machines[1])
+    finally:
+        await planned.stop()
+
+
 async def _accepts(machine: Machine, name: str) -> bool:
     """Whether a listener of a machine's program accepts connections."""
     host, port = machine.address(name).split(':')
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -32,6 +32,8 @@
 TEAM_HEADER: Final = 'X-Lycheespar-Tenant-Name'
 RESPONSE_SEAL_HEADER: Final = 'X-Lycheespar-Response-Seal'
 SERVER_LOAD_HEADER: Final = 'X-Lycheespar-Server-Load'
+# Starts the command that follows with its standard streams closed.
+_WITHOUT_STREAMS: Final = ('sh', '-c', 'exec "$@" <&- >&- 2>&-', 'sh')
 _PID: Final = os.getpid()
 _NETWORK: Final = f'127.{130 + _PID // 256 % 100}.{_PID % 256}'
 
@@ -73,7 +75,13 @@
         path.write_text(json.dumps(self._settings()))
         with self.log.open('ab') as log:
             self._child = subprocess.Popen(
-                [sys.executable, '-m', 'lycheespar', f'hosted-{self.role}'],
+                [
+                    *(_WITHOUT_STREAMS if self.site.without_streams else ()),
+                    sys.executable,
+                    '-m',
+                    'lycheespar',
+                    f'hosted-{self.role}',
+                ],
                 stdout=log,
                 stderr=log,
                 cwd=self.site.program_folder,
@@ -314,6 +322,8 @@
         commit; the current folder if None.
     grace_s : int
         Time in seconds between SIGTERM and SIGKILL that the programs are told.
+    without_streams : bool
+        Whether the programs start with all standard streams closed.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -323,6 +333,7 @@
         self.targets: list[Target] = []
         self.program_folder: Path | None = None
         self.grace_s = 4
+        self.without_streams = False
         names = ('control_plane', 'outbound', 'ready_addr', 'internal')
         self.ports = {
             name: free_port(f'{_NETWORK}.1') + offset * 20
