Ingress: bytes behind the last answer do not cut it

Callers that had sent a further request when a stopping node closed the connection got a reset in the middle of an answer that the node had written completely.

Cause: a socket that is closed with unread bytes, or that gets bytes after it is closed, resets its connection; the system then drops what it has not delivered.

After the last answer the node only ends its own direction, and discards what still arrives until the caller closes, for 1 s at most. The stop waits for this.

--- a/lycheespar/ingress/connection.py
+++ b/lycheespar/ingress/connection.py
@@ -33,6 +33,9 @@
 # Answers in bytes that may wait for their turn on one connection before the
 # calls of further requests wait too.
 MAX_HELD_BYTES: Final = 1024 * 1024
+# Longest time in seconds for which the end of the connection is awaited after
+# the last answer.
+LINGER_S: Final = 1
 # Value of SO_LINGER: closing the socket discards unsent data and resets the
 # connection.
 _LINGER_RESET: Final = struct.pack('ii', 1, 0)
@@ -74,6 +77,7 @@
         '_early_calls',
         '_early_requests',
         '_last_answer_begun',
+        '_lingering',
     )
 
     def __init__(
@@ -94,11 +98,18 @@
         self._current: CallerRequest | None = None
         self._closing = False
         self._last_answer_begun = False
+        self._lingering = False
 
     @property
     def busy(self) -> bool:
-        """Whether a request has been read that is not answered yet."""
-        return self._current is not None or bool(self._messages)
+        """Whether the connection is to stay open for now.
+
+        A request has been read that is not answered yet, or the caller may
+        still receive the last answer.
+        """
+        return (
+            self._current is not None or bool(self._messages) or self._lingering
+        )
 
     @property
     def closing(self) -> bool:
@@ -112,6 +123,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Read requests; start the calls of those that need not wait."""
+        if self._lingering:
+            return
         count = self._request_count
         super().data_received(data)
         arrived = self._request_count - count
@@ -175,9 +188,29 @@
         self, request: web.BaseRequest, *arguments: Any
     ) -> tuple[web.StreamResponse, bool]:
         try:
-            return await super()._handle_request(request, *arguments)
+            response, reset = await super()._handle_request(request, *arguments)
         finally:
             self._current = None
+        if self._last_answer_begun and not reset and request.content.is_eof():
+            await self._linger()
+        return response, reset
+
+    async def _linger(self) -> None:
+        """Discard what still arrives until the caller closes the connection.
+
+        Closing a connection with unread bytes resets it, and the reset would
+        also discard the part of the last answer that is still on its way.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        self._lingering = True
+        try:
+            transport.write_eof()
+            # The end of the connection cancels this task.
+            await asyncio.sleep(LINGER_S)
+        finally:
+            self._lingering = False
 
     def _take_request(
         self,
--- a/lycheespar/tests/ingress/pipelining_tests.py
+++ b/lycheespar/tests/ingress/pipelining_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -34,6 +35,7 @@
         self.calls: list[Call] = []
         self.cancelled: list[str] = []
         self.refused: set[str] = set()
+        self.bodies: dict[str, bytes] = {}
         self.streams: dict[str, list[bytes]] = {}
         self.dropped_streams: list[str] = []
         self._gates: dict[str, asyncio.Event] = {}
@@ -73,7 +75,8 @@
             raise OverloadedError(retry_after_s=1)
         if path in self.streams:
             return Answer(200, (), self._stream(path), Load())
-        return Answer(200, (), path.encode(), Load())
+        body = self.bodies.get(path, path.encode())
+        return Answer(200, (), body, Load())
 
     def _gate(self, path: str) -> asyncio.Event:
         return self._gates.setdefault(path, asyncio.Event())
@@ -339,6 +342,36 @@
         await stopping
 
 
+async def test_a_request_behind_the_last_answer_does_not_cut_that_answer():
+    """Closing with unread bytes resets the connection and what is sent."""
+    dispatch = GatedDispatch()
+    sent = dispatch.bodies['/get/0'] = b'x' * 540_000
+    loop = asyncio.get_running_loop()
+    async with _connected(dispatch) as caller:
+        with socket.socket() as sock:
+            # The answer must not fit into the buffers of the system.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, ('127.0.0.1', caller.server.port))
+            await loop.sock_sendall(sock, _get('/get/0'))
+            await dispatch.wait_for('/get/0')
+            caller.server.drain(60)
+            dispatch.release('/get/0')
+            received = await loop.sock_recv(sock, 8192)
+            await asyncio.sleep(0.05)
+            await loop.sock_sendall(sock, _get('/get/1'))
+            async with asyncio.timeout(TIMEOUT_S):
+                while chunk := await loop.sock_recv(sock, 8192):
+                    received += chunk
+    _, _, body = received.partition(b'\r\n\r\n')
+    assert body == sent
+    assert dispatch.paths == ['/get/0']
+
+
+def _get(path: str) -> bytes:
+    return f'GET {path} HTTP/1.1\r\nHost: desk.team\r\n\r\n'.encode()
+
+
 @pytest.mark.parametrize('steps', range(8))
 async def test_a_stop_does_not_cut_a_request_that_was_just_read(steps):
     dispatch = GatedDispatch()
