--- a/demo/soak/callers.py
+++ b/demo/soak/callers.py
@@ -25,8 +25,16 @@
         Time in seconds since which no answer is awaited.
     """
 
-    def __init__(self) -> None:
-        """Create a connection that is not open yet."""
+    def __init__(self, pause_s: float = 0) -> None:
+        """Create a connection that is not open yet.
+
+        Parameters
+        ----------
+        pause_s : float
+            Time in seconds for which the caller stops to read after the first
+            bytes that it receives.
+        """
+        self._pause_s = pause_s
         self._loop = asyncio.get_running_loop()
         self._parser = AnswerParser()
         self._waiting: deque[tuple[Exchange, asyncio.Future[Answer | None]]]
@@ -46,6 +54,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Assign complete answers to the requests in their order."""
+        if self._pause_s and self._transport is not None:
+            self._transport.pause_reading()
+            self._loop.call_later(self._pause_s, self._resume)
+            self._pause_s = 0
         for answer in self._parser.feed(data):
             if not self._waiting:
                 self.usable = False
@@ -89,6 +101,10 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _resume(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     async def _write(
         self, exchange: Exchange, head: bytes, pieces: list[bytes]
     ) -> None:
--- a/demo/soak/exchanges.py
+++ b/demo/soak/exchanges.py
@@ -75,11 +75,14 @@
         Times in seconds; the end is infinite while it runs.
     dropped : bool
         Whether its connection was closed before it had ended.
+    zone : str
+        Data centre of the target.
     """
 
     began_at: float
     ended_at: float = float('inf')
     dropped: bool = False
+    zone: str = ''
 
 
 class Loss(msgspec.Struct):
@@ -104,6 +107,9 @@
         Times of SIGTERM by node.
     disruptions : list[tuple[float, float]]
         Start and end of disruptions that nobody planned.
+    delays : list[tuple[float, float]]
+        Start and end of times in which this process, with its callers and
+        targets, did not run.
     """
 
     def __init__(self, grace_s: float) -> None:
@@ -113,6 +119,7 @@
         self.runs: dict[str, list[Run]] = defaultdict(list)
         self.stops: dict[str, list[float]] = defaultdict(list)
         self.disruptions: list[tuple[float, float]] = []
+        self.delays: list[tuple[float, float]] = []
 
     def losses(self) -> list[Loss]:
         """Return all broken promises."""
@@ -143,13 +150,20 @@
         if gave_up or exchange.ended_at >= exchange.deadline:
             return False
         passed_on = any(run.began_at <= exchange.ended_at for run in runs)
-        late = (
-            exchange.last_byte_at
-            and exchange.ended_at > exchange.last_byte_at + LOSS_SLACK_S
-        )
-        return bool(passed_on or late) and not self._late_in_grace(
-            exchange, runs
+        return (
+            passed_on or self._waited_long(exchange)
+        ) and not self._late_in_grace(exchange, runs)
+
+    def _waited_long(self, exchange: Exchange) -> bool:
+        """Return whether a request was left unanswered for too long."""
+        began_at = exchange.last_byte_at
+        if not began_at:
+            return False
+        delayed_s = sum(
+            max(0, min(ended_at, exchange.ended_at) - max(delay_at, began_at))
+            for delay_at, ended_at in self.delays
         )
+        return exchange.ended_at - began_at - delayed_s > LOSS_SLACK_S
 
     def _broken_off(self, exchange: Exchange, runs: list[Run]) -> bool:
         """Return whether a stopping node ended a request by its own answer."""
--- a/demo/soak/faults.py
+++ b/demo/soak/faults.py
@@ -22,6 +22,8 @@
     signal.SIGHUP,
     signal.SIGCONT,
 )
+# Time in seconds for a pause of this process that is counted as such.
+MAX_DELAY_S: Final = 0.05
 PAUSE_S: Final = 2.5
 OK: Final = 200
 
@@ -46,6 +48,8 @@
     ----------
     acknowledged : int
         Number of the last acknowledged change.
+    evacuated : str
+        Data centre whose evacuation was the last thing acknowledged.
     killed_at_grace : int
         Stops that outlasted the grace period.
     exits : list[str]
@@ -69,6 +73,7 @@
         self._busy: set[str] = set()
         self.acknowledged = 1
         self.sent = 1
+        self.evacuated = ''
         self.killed_at_grace = 0
         self.exits: list[str] = []
 
@@ -131,8 +136,9 @@
         ]
         route = self._random.choice(routes)
         spec = route['spec']
-        timeout_ms = int(spec['target_latency'].removesuffix('ms')) + 300
-        timeout_ms += self._random.randrange(1000, 3000)
+        # Not shorter than the callers' deadlines.
+        timeout_ms = int(spec['timeout'].removesuffix('ms'))
+        timeout_ms += self._random.randrange(100, 2000)
         changed = route | {'spec': spec | {'timeout': f'{timeout_ms}ms'}}
         added = {
             'resource_type': 'routes',
@@ -192,9 +198,16 @@
             self._disrupted(began_at)
 
     async def watch(self) -> None:
-        """Note programs that end by themselves; start them again."""
+        """Note programs that end by themselves; start them again.
+
+        Also note when this process itself does not run.
+        """
+        loop = asyncio.get_running_loop()
         while True:
+            slept_at = loop.time()
             await asyncio.sleep(POLL_S)
+            if loop.time() - slept_at > MAX_DELAY_S:
+                self._ledger.delays.append((slept_at, loop.time()))
             for machine in self._site.machines:
                 if machine.ended and machine.ip not in self._busy:
                     self.exits.append(f'{machine.ip}: {machine.exit_code}')
@@ -203,9 +216,27 @@
                     )
                     machine.start()
 
+    async def evacuations(self) -> None:
+        """Evacuate data centres one after the other, and take them back."""
+        while True:
+            await asyncio.sleep(self._random.uniform(1, 4))
+            await self._evacuate()
+            await asyncio.sleep(self._random.uniform(1, 6))
+            await self._site.call_operator_api(
+                f'evacuate.end&of={self.evacuated}'
+            )
+            self._report('evacuation ends', zone=self.evacuated)
+            self.evacuated = ''
+
+    async def lose_all_evacuated(self) -> None:
+        """Kill all programs after an evacuation; one disk is lost."""
+        await self._evacuate()
+        await self.lose_all()
+
     async def lose_all(self) -> None:
         """Kill all programs after an acknowledgement; one disk is lost."""
-        await self.change()
+        if not self.evacuated:
+            await self.change()
         controls = [
             machine
             for machine in self._site.machines
@@ -223,6 +254,15 @@
             machine.start()
             self._busy.discard(machine.ip)
 
+    async def _evacuate(self) -> None:
+        zones = sorted({machine.zone for machine in self._site.machines})
+        zone = self._random.choice(zones)
+        status, _ = await self._site.call_operator_api(
+            f'evacuate.start&of={zone}'
+        )
+        self._report('evacuation', zone=zone, status=status)
+        self.evacuated = zone
+
     def _choose(self, role: str) -> Machine | None:
         """Return a random machine with a role, whose program is not busy."""
         free = [
--- a/demo/soak/load.py
+++ b/demo/soak/load.py
@@ -6,6 +6,7 @@
 import random
 import uuid
 from collections import defaultdict
+from functools import partial
 from typing import Final
 
 from demo.emulate import HOST, MS_PER_S
@@ -22,6 +23,10 @@
 PIPELINED_SHARE: Final = 0.02
 PIPELINE_DEPTH: Final = 4
 CHUNKED_PIECES: Final = 4
+# Share of the connections whose caller stops to read, and for how long at most,
+# in seconds.
+SLOW_SHARE: Final = 0.05
+MAX_PAUSE_S: Final = 0.3
 
 
 class Load:
@@ -238,10 +243,12 @@
         loop = asyncio.get_running_loop()
         host, port = machine.address('outbound').split(':')
         limit = min(deadline, loop.time() + CONNECT_TIMEOUT_S)
+        slow = self._random.random() < SLOW_SHARE
+        pause_s = self._random.uniform(0, MAX_PAUSE_S) if slow else 0
         try:
             async with asyncio.timeout_at(limit):
                 _, connection = await loop.create_connection(
-                    CallerConnection, host, int(port)
+                    partial(CallerConnection, pause_s), host, int(port)
                 )
         except (OSError, TimeoutError):
             return None
--- a/demo/soak/soak.py
+++ b/demo/soak/soak.py
@@ -6,6 +6,7 @@
 import json
 import random
 from collections import Counter
+from itertools import chain
 from pathlib import Path
 from typing import Any, Final, TextIO
 
@@ -23,6 +24,7 @@
 READINESS_INTERVAL_S: Final = 1
 SPEED_INTERVAL_S: Final = 0.15
 READ_BACK_S: Final = 10
+EVACUATION_CHECK_S: Final = 8
 GRACE_S: Final = 6
 
 
@@ -92,6 +94,8 @@
                 if end:
                     await getattr(self.faults, end)()
                 await self._read_back()
+                if end and self.faults.evacuated:
+                    await self._check_evacuation(self.faults.evacuated)
             finally:
                 await self.site.stop()
             for loss in self.ledger.losses():
@@ -157,6 +161,17 @@
                 f'version {self.faults.acknowledged}, read {version}'
             )
 
+    async def _check_evacuation(self, zone: str) -> None:
+        """Check that an evacuated data centre gets no requests."""
+        began_at = asyncio.get_running_loop().time()
+        await self.load.run(EVACUATION_CHECK_S)
+        runs = chain.from_iterable(self.ledger.runs.values())
+        later = [run for run in runs if run.began_at > began_at]
+        count = sum(run.zone == zone for run in later)
+        self._report('after the end', runs=len(later), evacuated=count)
+        if count:
+            self.forgotten.append(f'evacuation of {zone}, {count} runs')
+
     async def _check_readiness(self) -> None:
         """Ask each node once a second; two misses take it out of use."""
         misses: Counter[str] = Counter()
--- a/demo/soak/targets.py
+++ b/demo/soak/targets.py
@@ -99,7 +99,7 @@
         headers: dict[str, str],
     ) -> web.StreamResponse:
         loop = asyncio.get_running_loop()
-        run = Run(loop.time())
+        run = Run(loop.time(), zone=self.machine.zone)
         self._ledger.runs[attempt].append(run)
         self._running += 1
         try:
