--- a/demo/soak/__main__.py
+++ b/demo/soak/__main__.py
@@ -20,6 +20,7 @@
 @click.argument('scenario', type=click.Path(path_type=Path))
 @click.option('--seed', default=1, help='Seed of load and faults.')
 @click.option('--seconds', default=0.0, help='Duration of the load.')
+@click.option('--rate', default=1.0, help='Share of the rates of the scenario.')
 @click.option('--series', default=SERIES, help='Series of faults.')
 @click.option('--end', default='', help='Final fault.')
 @click.option(
@@ -36,6 +37,7 @@
     scenario: Path,
     seed: int,
     seconds: float,
+    rate: float,
     series: str,
     end: str,
     folder: Path | None,
@@ -45,6 +47,8 @@
     # Targets' answers to connections that are gone are no findings.
     logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
     plan = load_scenario(scenario)
+    for class_plan in plan.classes:
+        class_plan.per_s *= rate
     with tempfile.TemporaryDirectory() as temporary:
         used = (folder or Path(temporary)).resolve()
         used.mkdir(parents=True, exist_ok=True)
