Soak: pipelined requests have the deadline of their own class

The rule does not count a request whose route's time-out was reached; callers of a class never wait for longer. Nothing else of the check changes.

--- a/demo/soak/load.py
+++ b/demo/soak/load.py
@@ -141,7 +141,11 @@
     async def _send_pipelined(
         self, machine: Machine, plan: ClassPlan, deadline: float
     ) -> None:
-        """Send a request and others behind it, without awaiting answers."""
+        """Send a request and others behind it, without awaiting answers.
+
+        Each has the deadline of its own class, which its route has as time-out.
+        """
+        now = asyncio.get_running_loop().time()
         connection = self._take_idle(machine)
         connection = connection or await self._open(machine, deadline)
         if connection is None:
@@ -149,7 +153,13 @@
         plans = [plan for plan in self._scenario.classes if plan.per_s]
         behind = self._random.choices(plans, k=PIPELINE_DEPTH - 1)
         sends = [
-            self._send_on(connection, machine, each, deadline, 'pipelined')
+            self._send_on(
+                connection,
+                machine,
+                each,
+                min(deadline, now + each.deadline_ms / MS_PER_S),
+                'pipelined',
+            )
             for each in (plan, *behind)
         ]
         await asyncio.gather(*sends)
