--- a/demo/soak/callers.py
+++ b/demo/soak/callers.py
@@ -90,10 +90,7 @@
                 await self._write(exchange, head, pieces)
                 return await future
         except TimeoutError:
-            self.usable = False
-            exchange.ending = exchange.ending or CALLER_GAVE_UP
-            exchange.ended_at = exchange.ended_at or self._loop.time()
-            self.close()
+            self._give_up()
             return None
 
     def close(self) -> None:
@@ -101,6 +98,14 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _give_up(self) -> None:
+        """Close the connection, and so end all requests on it unanswered."""
+        self.usable = False
+        for exchange, _ in self._waiting:
+            exchange.ending = exchange.ending or CALLER_GAVE_UP
+            exchange.ended_at = exchange.ended_at or self._loop.time()
+        self.close()
+
     def _resume(self) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
