Soak: record when a caller paused reading

Now the pause itself is recorded: the answer counts as due from the moment at which the caller read on, and not while it pauses.

Two cases of the check's own test: a caller that pauses still is no finding, one that has read on for longer than the slack is one.

--- a/demo/soak/callers.py
+++ b/demo/soak/callers.py
@@ -40,7 +40,8 @@
             bytes that it receives.
         """
         self._pause_s = pause_s
-        self._is_slow = pause_s > 0
+        # When the caller last went on to read; infinite while it does not.
+        self._reads_since = 0.0
         self._loop = asyncio.get_running_loop()
         self._parser = AnswerParser()
         self._waiting: deque[tuple[Exchange, asyncio.Future[Answer | None]]]
@@ -62,6 +63,7 @@
         """Assign complete answers to the requests in their order."""
         if self._pause_s and self._transport is not None:
             self._transport.pause_reading()
+            self._reads_since = float('inf')
             self._loop.call_later(self._pause_s, self._resume)
             self._pause_s = 0
         for answer in self._parser.feed(data):
@@ -135,13 +137,16 @@
 
     def _end_waiting(self, ending: str) -> None:
         self.usable = False
-        if self._waiting and not self._is_slow:
-            self._waiting[0][0].next_since = self.idle_since
+        if self._waiting:
+            self._waiting[0][0].next_since = max(
+                self.idle_since, self._reads_since
+            )
         for exchange, _ in self._waiting:
             exchange.ending = exchange.ending or ending
             exchange.ended_at = exchange.ended_at or self._loop.time()
 
     def _resume(self) -> None:
+        self._reads_since = self._loop.time()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
--- a/demo/soak/exchanges.py
+++ b/demo/soak/exchanges.py
@@ -53,8 +53,9 @@
     odd_target : bool
         Whether the target was asked not to send a whole answer.
     next_since : float
-        Since when its answer was the next one due on its connection; 0 if it
-        was not when its caller gave up, or if the caller had stopped to read.
+        Since when its answer was the next one due on its connection and the
+        caller read; 0 if it was not the next one when its caller gave up,
+        infinite if the caller had paused reading then.
     behind_close : bool
         Whether it was sent behind one whose answer ends the connection. By
         HTTP it was then not read, and must not have run.
--- a/lycheespar/tests/end_to_end/soak_tests.py
+++ b/lycheespar/tests/end_to_end/soak_tests.py
@@ -77,6 +77,16 @@
             ['withheld'],
         ),
         ({'ended_at': 20, 'ending': 'deadline'}, [Run(10, 19)], []),
+        (
+            {'ended_at': 20, 'ending': 'deadline', 'next_since': float('inf')},
+            [Run(10, 19)],
+            [],
+        ),
+        (
+            {'ended_at': 20, 'ending': 'deadline', 'next_since': 19.7},
+            [Run(10, 19)],
+            ['withheld'],
+        ),
         ({'ended_at': 11, 'behind_close': True}, [], []),
         ({'ended_at': 11, 'behind_close': True}, [Run(10, 12)], ['lost']),
     ],
