Report callers' connections that are closed while in use

Uploads ended without a whole answer in planned stops, and the log had nothing on it: an end of a connection with unread bytes, which resets it, had no event, and the warning at the time limit of a stop names no request.

The event connection_cut has the reason, the request that was answered last and how long ago, whether its body had been read, the requests that end without an answer, and the bytes that were unread and not acknowledged. Connections that end in order, or by their caller, have no event. No request is handled in another way.

--- a/lycheespar/ingress/connection.py
+++ b/lycheespar/ingress/connection.py
@@ -23,6 +23,7 @@
     RequestError,
 )
 from lycheespar.ingress.answers import problem_response
+from lycheespar.ingress.cut_report import CutReport
 from lycheespar.ingress.listener import accept_all_segments
 from lycheespar.ingress.message_queue import MessageQueue
 from lycheespar.ingress.request import CallerRequest
@@ -74,6 +75,11 @@
         The event loop.
     **options : Any
         Options of the base class.
+
+    Attributes
+    ----------
+    cut_report : CutReport
+        What the end of the connection would cut off.
     """
 
     __slots__ = (
@@ -86,6 +92,7 @@
         '_lingering',
         '_queue',
         '_unparsed',
+        'cut_report',
     )
 
     def __init__(
@@ -111,6 +118,7 @@
         self._closing = False
         self._last_answer_begun = False
         self._lingering = False
+        self.cut_report = CutReport()
 
     @property
     def busy(self) -> bool:
@@ -142,7 +150,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set socket options by which the system detects a vanished caller."""
         super().connection_made(transport)
-        tune_socket(transport.get_extra_info('socket'))
+        sock = transport.get_extra_info('socket')
+        self.cut_report.socket = sock
+        tune_socket(sock)
 
     def data_received(self, data: bytes) -> None:
         """Read requests; start the calls of those that need not wait.
@@ -162,8 +172,18 @@
         if arrived and (self._current or len(self._messages) > 1):
             self._start_early_calls()
 
+    def eof_received(self) -> None:
+        """Note that the caller has ended the connection."""
+        self.cut_report.caller_left = True
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel all calls of the connection."""
+        server = self._manager
+        if exc is None and isinstance(server, CallerServer):
+            self.cut_report.write(
+                self.request_ids, self._loop.time(), stopping=server.stopping
+            )
         super().connection_lost(exc)
         current = self._current
         if current is not None and not current.is_handled:
@@ -182,6 +202,13 @@
         self._closing = True
         if self.busy:
             return
+        # The base class closes it after it has discarded the rest of a body.
+        ended_by_itself = asyncio.current_task(self._loop) is self._task_handler
+        self.cut_report.reason = (
+            'the rest of a body did not arrive in time'
+            if ended_by_itself
+            else 'the connection counted as idle'
+        )
         super().close()
         if self.transport is not None:
             self.transport.close()
@@ -217,18 +244,16 @@
         response.force_close()
         return response
 
-    @property
-    def _reading_blocked(self) -> bool:
-        """Whether messages or a body must be taken before more is read."""
-        full = len(self._messages) >= self._max_msg_queue_size
-        return full or self._reading_paused
-
     def _read(self, parse: Callable[[bytes], None], *, new_data: bool) -> None:
         """Parse bytes until messages or a body must be taken."""
         if not new_data:
             # The parser may have kept bytes.
             parse(b'')
-        while self._unparsed and not self._reading_blocked:
+        while (
+            self._unparsed
+            and len(self._messages) < self._max_msg_queue_size
+            and not self._reading_paused
+        ):
             parse(self._unparsed.take())
             self._resume_behind_upgrade()
 
@@ -265,6 +290,11 @@
             request.is_handled = True
         try:
             response, reset = await super()._handle_request(request, *arguments)
+        except BaseException:
+            self.cut_report.aborted = self.request_ids[:1]
+            raise
+        else:
+            self.cut_report.answered(self._current, self._loop.time())
         finally:
             self._current = None
             self._queue.answered_body = request.content
@@ -370,6 +400,11 @@
         Starts the calls of pipelined requests.
     **options : Any
         Options of the base class.
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether the node is stopping.
     """
 
     def __init__(
@@ -381,6 +416,7 @@
         """Create a server without connections."""
         super().__init__(handler, **options)
         self._early_calls = early_calls
+        self.stopping = False
 
     def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
@@ -398,6 +434,13 @@
             if isinstance(connection, CallerConnection)
         )
 
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """End all connections; abort requests after a time in seconds."""
+        for connection in self.connections:
+            if isinstance(connection, CallerConnection):
+                connection.cut_report.reason = 'end of the stop'
+        await super().shutdown(timeout)
+
     def accept_all_segments(self) -> None:
         """Let all connections receive what their callers send."""
         for connection in self.connections:
--- /dev/null
+++ b/lycheespar/ingress/cut_report.py
@@ -0,0 +1,94 @@
+"""Reports callers' connections that the node closes while they are in use."""
+
+from __future__ import annotations
+
+import socket
+
+from lycheespar.ingress.request import CallerRequest
+from lycheespar.protocol.sockets import unread_bytes, unsent_bytes
+from lycheespar.telemetry.connection_events import ConnectionCut
+from lycheespar.telemetry.event_log import events
+
+
+class CutReport:
+    """What the end of one connection would cut off.
+
+    Attributes
+    ----------
+    socket : socket.socket | None
+        Socket of the connection.
+    reason : str
+        Why the node closes the connection; the first reason is kept.
+    caller_left : bool
+        Whether the caller has ended the connection.
+    aborted : tuple[str, ...]
+        Ids of requests whose handling was cancelled or failed.
+    """
+
+    __slots__ = (
+        '_answered',
+        '_answered_at',
+        '_reason',
+        'aborted',
+        'caller_left',
+        'socket',
+    )
+
+    def __init__(self) -> None:
+        """Start for a connection on which nothing was answered."""
+        self.socket: socket.socket | None = None
+        self.caller_left = False
+        self.aborted: tuple[str, ...] = ()
+        self._reason = ''
+        self._answered: CallerRequest | None = None
+        self._answered_at = float('-inf')
+
+    @property
+    def reason(self) -> str:
+        """Why the node closes the connection; the first reason is kept."""
+        return self._reason
+
+    @reason.setter
+    def reason(self, reason: str) -> None:
+        self._reason = self._reason or reason
+
+    def answered(self, request: CallerRequest | None, now: float) -> None:
+        """Note that a request was answered, at a time in seconds."""
+        self._answered = request
+        self._answered_at = now
+
+    def write(
+        self, unanswered: tuple[str, ...], now: float, *, stopping: bool
+    ) -> None:
+        """Write the event of a connection that ends, unless nothing is cut.
+
+        Parameters
+        ----------
+        unanswered : tuple[str, ...]
+            Ids of the requests that were read and are not answered.
+        now : float
+            Current time in seconds on the event loop's clock.
+        stopping : bool
+            Whether the node is stopping.
+        """
+        if self.caller_left or self.socket is None:
+            return
+        answered = self._answered
+        complete = answered is None or answered.content.is_eof()
+        unread = unread_bytes(self.socket)
+        unanswered = (*self.aborted, *unanswered)
+        if complete and not unread and not unanswered:
+            return
+        since_answer_s = now - self._answered_at
+        events.write(
+            ConnectionCut(
+                self._reason,
+                '' if answered is None else answered.request_id,
+                unanswered,
+                -1 if answered is None else round(since_answer_s, 3),
+                complete,
+                unread,
+                unsent_bytes(self.socket),
+                stopping,
+            )
+        )
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -120,6 +120,7 @@
             not be finished by then are refused.
         """
         self._draining = True
+        self._server.stopping = True
         self._stop_admission.begin(asyncio.get_running_loop().time(), limit_s)
 
     async def close_port(self) -> None:
--- a/lycheespar/protocol/sockets.py
+++ b/lycheespar/protocol/sockets.py
@@ -1,8 +1,11 @@
-"""Socket options that detect dead TCP connections."""
+"""Options and buffers of TCP sockets."""
 
 from __future__ import annotations
 
+import fcntl
 import socket
+import struct
+import termios
 from typing import Final
 
 from loguru import logger
@@ -25,6 +28,8 @@
     (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
 )
 
+_COUNTER: Final = struct.Struct('i')
+
 AddressInfo = tuple[
     int,
     int,
@@ -52,6 +57,27 @@
         log.warning('The options of a connection were refused: {!r}.', error)
 
 
+def unread_bytes(sock: socket.socket) -> int:
+    """Return how many received bytes were not read; 0 if the socket is gone."""
+    return _read_counter(sock, termios.FIONREAD)
+
+
+def unsent_bytes(sock: socket.socket) -> int:
+    """Return how many sent bytes the other end has not acknowledged.
+
+    Returns 0 if the socket is gone.
+    """
+    return _read_counter(sock, termios.TIOCOUTQ)
+
+
+def _read_counter(sock: socket.socket, code: int) -> int:
+    try:
+        raw = fcntl.ioctl(sock.fileno(), code, bytes(_COUNTER.size))
+    except (OSError, ValueError):
+        return 0
+    return int(_COUNTER.unpack(raw)[0])
+
+
 def create_tuned_socket(address: AddressInfo) -> socket.socket:
     """Create the socket of an outgoing connection of aiohttp."""
     sock = socket.socket(*address[:3])
--- a/lycheespar/tests/ingress/callers.py
+++ b/lycheespar/tests/ingress/callers.py
@@ -141,7 +141,9 @@
 
 
 @asynccontextmanager
-async def connected(dispatch: GatedDispatch) -> AsyncIterator[Caller]:
+async def connected(
+    dispatch: GatedDispatch, max_body_bytes: int = 1000
+) -> AsyncIterator[Caller]:
     """Start a server and connect a caller to it."""
     routes = (Route(path_prefix='/get', idempotent=True),)
     configuration = Configuration(
@@ -149,7 +151,7 @@
         {'counter': Template('counter', routes=routes)},
         {'team': Team('team', {'desk': TeamService('counter')})},
     )
-    builder = CallBuilder(ConfigurationView(configuration), 1000)
+    builder = CallBuilder(ConfigurationView(configuration), max_body_bytes)
     server = IngressServer(builder, dispatch)
     await server.start(Address('127.0.0.1', 0))
     reader, writer = await asyncio.open_connection('127.0.0.1', server.port)
--- a/tools/events_page.py
+++ b/tools/events_page.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lycheespar.telemetry import (
+    connection_events,
     control_events,
     crash_events,
     error_events,
@@ -24,6 +25,7 @@
     module.__name__
     for module in (
         events,
+        connection_events,
         control_events,
         crash_events,
         error_events,
