Soak: uploads over seconds, and targets that answer before they read them

The soak sent no body that was on its way for longer than 0.1 s, and its targets read each body whole, so that it could not show uploads that end without an answer.

Classes with upload_s send bodies over up to that time, on connections of their own; half of their callers read only once they have sent all. With the series early_answers, targets answer before they read.

--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -68,6 +68,9 @@
         Priority of the route, as in the platform's configuration.
     body_bytes, answer_bytes : int
         Mean size of the requests' bodies and of the answers, in bytes.
+    upload_s : float
+        Longest time in seconds over which a caller sends a body; a soak sends
+        such requests only on connections of their own.
     calls, call_count : str, int
         Class of the calls that a run makes, and their number; no calls if the
         name is empty.
@@ -83,6 +86,7 @@
     priority: int = 2
     body_bytes: int = 0
     answer_bytes: int = 400
+    upload_s: float = 0
     calls: str = ''
     call_count: int = 0
 
--- a/demo/soak/callers.py
+++ b/demo/soak/callers.py
@@ -24,6 +24,8 @@
 
     Attributes
     ----------
+    sends_first : bool
+        Whether the caller reads only once it has sent a whole request.
     usable : bool
         Whether a further request may be sent on it.
     idle_since : float
@@ -46,6 +48,7 @@
         self._waiting: deque[tuple[Exchange, asyncio.Future[Answer | None]]]
         self._waiting = deque()
         self._transport: asyncio.Transport | None = None
+        self.sends_first = False
         self.usable = True
         self.idle_since = self._loop.time()
 
@@ -151,6 +154,8 @@
         assert self._transport is not None
         if self._transport.is_closing():
             return
+        if self.sends_first:
+            self._transport.pause_reading()
         self._transport.write(head)
         for index, piece in enumerate(pieces):
             if index:
@@ -159,6 +164,8 @@
                 return
             self._transport.write(piece)
         exchange.last_byte_at = self._loop.time()
+        if self.sends_first:
+            self._resume()
 
     def _finish(self, answer: Answer | None, ending: str) -> None:
         exchange, future = self._waiting.popleft()
--- a/demo/soak/load.py
+++ b/demo/soak/load.py
@@ -57,7 +57,11 @@
 
     def __init__(self, scenario: Scenario, ledger: Ledger, seed: int) -> None:
         """Create callers without connections."""
-        self._scenario = scenario
+        self._plans = [
+            plan
+            for plan in scenario.classes
+            if plan.per_s and not plan.upload_s
+        ]
         self._ledger = ledger
         self._random = random.Random(seed)
         self._classes = {plan.name: plan for plan in scenario.classes}
@@ -76,7 +80,7 @@
         """Send requests for a time, then await the last answers."""
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + seconds
-        plans = [plan for plan in self._scenario.classes if plan.per_s]
+        plans = self._plans
         rates = [plan.per_s for plan in plans]
         while loop.time() < ends_at:
             plan = self._random.choices(plans, rates)[0]
@@ -162,7 +166,7 @@
         connection = connection or await self.open(machine, deadline)
         if connection is None:
             return
-        plans = [plan for plan in self._scenario.classes if plan.per_s]
+        plans = self._plans
         behind = self._random.choices(plans, k=PIPELINE_DEPTH - 1)
         sends = [
             self.send_on(
--- a/demo/soak/soak.py
+++ b/demo/soak/soak.py
@@ -20,6 +20,7 @@
 from demo.soak.load import Load
 from demo.soak.odd import OddCallers
 from demo.soak.targets import SoakTarget
+from demo.soak.uploads import UploadingCallers
 from standins.platform import Machine, Site
 
 READINESS_INTERVAL_S: Final = 1
@@ -28,6 +29,8 @@
 EVACUATION_CHECK_S: Final = 8
 GRACE_S: Final = 6
 ODD_TARGET_SHARE: Final = 0.02
+# Series that concern callers and targets, not the system's programs.
+LOAD_SERIES: Final = frozenset(('odd_callers', 'odd_targets', 'early_answers'))
 
 
 class Soak:
@@ -73,6 +76,7 @@
         self._random = random.Random(seed)
         self.load = Load(scenario, self.ledger, seed)
         self._odd_callers = OddCallers(self.load, seed)
+        self._uploads = UploadingCallers(self.load, scenario, self.ledger, seed)
         self.forgotten: list[str] = []
         self.unhandled: list[str] = []
         self._timeline: TextIO | None = None
@@ -154,7 +158,8 @@
     async def _run_load(self, seconds: float, series: list[str]) -> None:
         if 'odd_targets' in series:
             self.load.odd_target_share = ODD_TARGET_SHARE
-        faults = [name for name in series if not name.startswith('odd_')]
+        self._uploads.early_answers = 'early_answers' in series
+        faults = [name for name in series if name not in LOAD_SERIES]
         async with asyncio.TaskGroup() as tasks:
             background = [
                 tasks.create_task(coroutine)
@@ -165,7 +170,7 @@
                     self._vary_speed(),
                 )
             ]
-            loads = [self.load.run(seconds)]
+            loads = [self.load.run(seconds), self._uploads.run(seconds)]
             if 'odd_callers' in series:
                 loads.append(self._odd_callers.run(seconds))
             await asyncio.gather(*loads)
--- a/demo/soak/targets.py
+++ b/demo/soak/targets.py
@@ -106,7 +106,8 @@
         self._ledger.runs[attempt].append(run)
         self._running += 1
         try:
-            await request.read()
+            if request.query.get('early') is None:
+                await request.read()
             run.failed = await self._work(request, loop.time())
             response = await self._respond(
                 request, attempt, headers, run.failed
