--- a/demo/soak/__main__.py
+++ b/demo/soak/__main__.py
@@ -29,6 +29,9 @@
     help='Folder for logs and the timeline; a temporary one by default.',
 )
 @click.option('--hardened', is_flag=True, help='Hosts refuse socket filters.')
+@click.option(
+    '--link-bytes-per-s', default=0, help="Rate of each host's link; 0: any."
+)
 @click.option(
     '--program',
     type=click.Path(path_type=Path),
@@ -42,6 +45,7 @@
     series: str,
     end: str,
     folder: Path | None,
+    link_bytes_per_s: int,
     program: Path | None,
     *,
     hardened: bool,
@@ -62,6 +66,8 @@
             soak = Soak(plan, used, seed, checkout)
             if hardened:
                 soak.site.program = 'standins.hardened_host'
+            if link_bytes_per_s:
+                soak.use_slow_links(link_bytes_per_s)
             await soak.run(seconds or plan.seconds, names, end)
             return soak
 
--- a/demo/soak/soak.py
+++ b/demo/soak/soak.py
@@ -112,6 +112,11 @@
             for line in self.unhandled:
                 self._report('unhandled', line=line)
 
+    def use_slow_links(self, bytes_per_s: int) -> None:
+        """Limit what each host sends to others on channels between nodes."""
+        self.site.program = 'standins.slow_links_host'
+        self.site.environment['LINK_BYTES_PER_S'] = str(bytes_per_s)
+
     def summary(self) -> str:
         """Return the counts of exchanges, stops and losses."""
         exchanges = self.ledger.exchanges
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -87,7 +87,11 @@
                 stdout=log,
                 stderr=log,
                 cwd=self.site.program_folder,
-                env={'PATH': os.environ['PATH'], 'LYCHEESPAR_SETTINGS': path},
+                env={
+                    'PATH': os.environ['PATH'],
+                    'LYCHEESPAR_SETTINGS': str(path),
+                    **self.site.environment,
+                },
             )
         self.first_start = False
 
@@ -329,6 +333,8 @@
     program : str
         Module that starts the programs: ``lycheespar``, or
         ``standins.hardened_host``.
+    environment : dict[str, str]
+        Further environment variables of the programs.
     checks_logs : bool
         Whether errors in the logs that nothing handled fail the run.
     """
@@ -342,6 +348,7 @@
         self.grace_s = 4
         self.without_streams = False
         self.program = 'lycheespar'
+        self.environment: dict[str, str] = {}
         self.checks_logs = True
         names = ('control_plane', 'outbound', 'ready_addr', 'internal')
         self.ports = {
