Protocol: a channel whose bytes are still on their way is not silent

Cause: the heartbeat gave a channel more time only while a body was being written. That ends when its last chunk is in the buffers of this host, with a hundred kilobytes still to be sent. One Ping that waited behind them for more than 0.5 s ended the channel; a streamed request can't be sent again, so its run was cancelled at the other node. Parts of a large frame that arrived did not count as a sign of life either.

A period counts as silent now only if neither the bytes in front of the Ping were acknowledged by the other host nor any bytes arrived. With nothing queued the time in which a silent channel is found is what it was.

The test failed before with 'channel lost' (25,000 bytes/s, one chunk).

--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -8,6 +8,8 @@
 from functools import partial
 from typing import Final
 
+from loguru import logger
+
 from lycheespar.call import Answer, Call, Load
 from lycheespar.errors import (
     ChannelClosedError,
@@ -53,6 +55,8 @@
 # lost.
 LOST_CANCEL_TIMEOUT_S: Final = 0.5
 
+log = logger.bind(part='protocol')
+
 
 class Channel:
     """Multiplexed connection on which this node sends calls to another.
@@ -297,7 +301,11 @@
         """Handle the messages of the other node until the connection ends."""
         try:
             while True:
-                self._handle_message(await read_frame(self._reader))
+                self._handle_message(
+                    await read_frame(
+                        self._reader, self._connection.count_received
+                    )
+                )
         except (OSError, EOFError, ProtocolError):
             return
         except Exception as error:  # reported with the calls that it ends
@@ -308,7 +316,6 @@
             self._fail_all(ChannelClosedError())
 
     def _handle_message(self, message: Message) -> None:
-        self._heartbeat.message_received()
         match message:
             case AnswerHead():
                 self._handle_answer_head(message)
@@ -367,6 +374,11 @@
 
     def _abort_silent(self) -> None:
         """Abort the connection, as the other node does not respond on it."""
+        log.warning(
+            "The channel to node '{}' is silent, {} calls end on it.",
+            self._peer_hello.node,
+            len(self._pending),
+        )
         self._connection.abort()
         self._fail_all(ChannelUnresponsiveError())
 
--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -10,6 +10,7 @@
 
 from lycheespar.errors import BodySequenceError, LycheesparError
 from lycheespar.protocol.body import BodyReceiver, SendWindow, split_chunk
+from lycheespar.protocol.delivery import unacknowledged_bytes
 from lycheespar.protocol.framing import encode_frame
 from lycheespar.protocol.messages import (
     BodyChunk,
@@ -34,15 +35,28 @@
     ----------
     writer : asyncio.StreamWriter
         Writing end of the connection.
+
+    Attributes
+    ----------
+    received_bytes : int
+        Bytes that were received, as counted by the reader.
     """
 
-    __slots__ = ('_receivers', '_windows', '_writer')
+    __slots__ = (
+        '_receivers',
+        '_windows',
+        '_writer',
+        '_written_bytes',
+        'received_bytes',
+    )
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         """Wrap a writer and set the options of its socket."""
         self._writer = writer
         self._receivers: dict[bytes, BodyReceiver] = {}
         self._windows: dict[bytes, SendWindow] = {}
+        self._written_bytes = 0
+        self.received_bytes = 0
         tune_socket(writer.get_extra_info('socket'))
 
     @property
@@ -55,10 +69,31 @@
         """Whether a streamed body is being sent."""
         return bool(self._windows)
 
+    @property
+    def written_bytes(self) -> int:
+        """Bytes that were written, sent or not."""
+        return self._written_bytes
+
+    @property
+    def acknowledged_bytes(self) -> int:
+        """Written bytes that have reached the other host."""
+        if self.closing:
+            return self._written_bytes
+        sock = self._writer.get_extra_info('socket')
+        buffered = self._writer.transport.get_write_buffer_size()
+        outstanding = buffered + unacknowledged_bytes(sock.fileno())
+        return self._written_bytes - outstanding
+
     def send(self, message: Message) -> None:
         """Buffer a message for sending, unless the connection is closing."""
         if not self._writer.is_closing():
-            self._writer.write(encode_frame(message))
+            frame = encode_frame(message)
+            self._written_bytes += len(frame)
+            self._writer.write(frame)
+
+    def count_received(self, size: int) -> None:
+        """Count bytes that were received."""
+        self.received_bytes += size
 
     async def drain(self) -> None:
         """Wait until the write buffer has room."""
--- a/lycheespar/protocol/framing.py
+++ b/lycheespar/protocol/framing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import struct
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -34,9 +35,19 @@
     return _HEADER.pack(len(payload), PROTOCOL_VERSION) + payload
 
 
-async def read_frame(reader: asyncio.StreamReader) -> Message:
+async def read_frame(
+    reader: asyncio.StreamReader,
+    on_received: Callable[[int], None] | None = None,
+) -> Message:
     """Read one message.
 
+    Parameters
+    ----------
+    reader : asyncio.StreamReader
+        Reading end of the connection.
+    on_received : Callable[[int], None] | None
+        Called with the size of each part of the message that has arrived.
+
     Raises
     ------
     FrameTooLargeError
@@ -52,8 +63,30 @@
         raise FrameVersionError(f'unknown protocol version {version}')
     if length > MAX_FRAME_BYTES:
         raise FrameTooLargeError(f'received frame has {length} bytes')
-    payload = await reader.readexactly(length)
+    if on_received is None:
+        payload = await reader.readexactly(length)
+    else:
+        on_received(_HEADER.size)
+        payload = await _read_parts(reader, length, on_received)
     try:
         return _decoder.decode(payload)
     except msgspec.DecodeError as error:
         raise FrameVersionError(str(error)) from error
+
+
+async def _read_parts(
+    reader: asyncio.StreamReader,
+    size: int,
+    on_received: Callable[[int], None],
+) -> bytes:
+    """Read a number of bytes and report each part of them."""
+    parts: list[bytes] = []
+    missing = size
+    while missing:
+        part = await reader.read(missing)
+        if not part:
+            raise asyncio.IncompleteReadError(b''.join(parts), size)
+        missing -= len(part)
+        parts.append(part)
+        on_received(len(part))
+    return parts[0] if len(parts) == 1 else b''.join(parts)
--- a/lycheespar/protocol/heartbeat.py
+++ b/lycheespar/protocol/heartbeat.py
@@ -7,17 +7,19 @@
 from typing import Final
 
 from lycheespar.protocol.connection import FrameConnection
+from lycheespar.protocol.delivery import Delivery
 from lycheespar.protocol.messages import Ping
 
 # Time in seconds between two checks. A channel without streamed bodies counts
-# as silent if no message arrives for a whole period after a `Ping`.
+# as silent if nothing arrives for a whole period after a `Ping`. Periods in
+# which the `Ping` moves on behind other bytes do not count.
 PERIOD_S: Final = 0.5
-# Periods without a message after which an idle channel sends a `Ping`. A
+# Periods in which nothing arrives after which an idle channel sends a `Ping`. A
 # channel with pending calls sends it after one period.
 IDLE_PING_PERIODS: Final = 10
-# Periods without a message after a `Ping` past which a channel with streamed
-# bodies counts as silent. The limit is higher than for other channels because
-# a streamed body can't be resumed on another channel.
+# Periods in which nothing arrives after a `Ping` past which a channel with
+# streamed bodies counts as silent. The limit is higher than for other channels
+# because a streamed body can't be resumed on another channel.
 STREAM_SILENT_PERIODS: Final = 6
 # Time in seconds without calls after which a channel is closed.
 UNUSED_TIMEOUT_S: Final = 60
@@ -42,7 +44,8 @@
         '_on_silent',
         '_open_bodies',
         '_periods_since_ping',
-        '_received',
+        '_ping',
+        '_received_bytes',
         '_retired',
         '_serial',
         '_silent_periods',
@@ -61,7 +64,8 @@
         self._calls = calls
         self._on_silent = on_silent
         self._open_bodies = 0
-        self._received = False
+        self._ping: Delivery | None = None
+        self._received_bytes = connection.received_bytes
         self._periods_since_ping = 0
         self._retired = False
         self._silent_periods = 0
@@ -69,10 +73,6 @@
         self._used_at = asyncio.get_running_loop().time()
         self._task = asyncio.create_task(self._run())
 
-    def message_received(self) -> None:
-        """Record that a message was received."""
-        self._received = True
-
     def body_started(self) -> None:
         """Record that the streamed body of an answer is being received."""
         self._open_bodies += 1
@@ -110,6 +110,7 @@
             self._periods_since_ping = 1
             self._serial += 1
             self._connection.send(Ping(self._serial))
+            self._ping = Delivery(self._connection)
         return self._close_unused()
 
     @property
@@ -117,14 +118,17 @@
         return bool(self._open_bodies or self._connection.sending_bodies)
 
     def _count_periods(self) -> None:
-        """Update the periods without a message, in all and since a `Ping`."""
-        if self._received:
+        """Update the periods without a byte, in all and since a `Ping`."""
+        received_bytes = self._connection.received_bytes
+        if received_bytes > self._received_bytes:
+            self._received_bytes = received_bytes
             self._silent_periods = 0
             self._periods_since_ping = 0
+            self._ping = None
         else:
             self._silent_periods += 1
-            self._periods_since_ping += bool(self._periods_since_ping)
-        self._received = False
+            waits = self._ping is not None and not self._ping.has_advanced()
+            self._periods_since_ping += waits
 
     def _close_unused(self) -> bool:
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/lycheespar/tests/protocol/slow_links_tests.py
@@ -0,0 +1,61 @@
+"""Calls over channels whose bytes wait behind others."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from itertools import repeat
+
+from lycheespar.call import Answer, Call
+from lycheespar.protocol.body import CHUNK_BYTES
+from lycheespar.protocol.remote_node import RemoteNode
+from lycheespar.tests.protocol.nodes import CLIENT, LOAD, Node, new_call
+from standins import slow_links_host
+
+BYTES_PER_S = 25_000
+
+
+async def _chunks(count: int) -> AsyncIterator[bytes]:
+    for _ in range(count):
+        yield bytes(CHUNK_BYTES)
+
+
+async def _read_all(call: Call) -> Answer:
+    call.started = True
+    length = 0
+    async for chunk in call.body:
+        length += len(chunk)
+    return Answer(200, (), str(length).encode(), LOAD)
+
+
+@asynccontextmanager
+async def _slow_channel(monkeypatch) -> AsyncIterator[tuple[Node, RemoteNode]]:
+    """Run a node to which a channel sends slowly."""
+    node = Node()
+    with monkeypatch.context() as patches:
+        patches.setattr(asyncio, 'start_server', slow_links_host.start_server)
+        await node.server.start('127.0.0.1', 0)
+    remote = RemoteNode(*node.server.address, CLIENT, '127.0.0.1')
+    try:
+        channel = await remote._get_channel()
+        for _ in repeat(None, slow_links_host.UNPACED_SEGMENTS):
+            await channel.query_load()
+        sock = channel._connection._writer.get_extra_info('socket')
+        sock.setsockopt(
+            socket.SOL_SOCKET, slow_links_host.SO_MAX_PACING_RATE, BYTES_PER_S
+        )
+        yield node, remote
+    finally:
+        await remote.close()
+        await node.server.stop()
+
+
+async def test_a_channel_whose_last_chunk_is_on_its_way_is_not_silent(
+    monkeypatch,
+):
+    async with _slow_channel(monkeypatch) as (node, remote):
+        monkeypatch.setattr(node.target, 'execute', _read_all)
+        answer = await remote.execute(new_call(body=_chunks(1)))
+        assert answer.body == str(CHUNK_BYTES).encode()
--- a/standins/slow_links_host.py
+++ b/standins/slow_links_host.py
@@ -19,7 +19,9 @@
 
 RATE_VARIABLE: Final = 'LINK_BYTES_PER_S'
 SO_MAX_PACING_RATE: Final = 47
-# The kernel does not pace the first ten segments of a connection.
+# The kernel does not pace the first segments of a connection; small segments
+# let few bytes pass in them.
+UNPACED_SEGMENTS: Final = 10
 SEGMENT_BYTES: Final = 1400
 SHARING_INTERVAL_S: Final = 0.01
 
