--- a/standins/slow_links_host.py
+++ b/standins/slow_links_host.py
@@ -23,9 +23,12 @@
 # let few bytes pass in them.
 UNPACED_SEGMENTS: Final = 10
 SEGMENT_BYTES: Final = 1400
+# A small window lets the kernel send few segments at once, as on a real link.
+RECEIVE_BUFFER_BYTES: Final = 4096
 SHARING_INTERVAL_S: Final = 0.01
 
 _start_server = asyncio.start_server
+_open_connection = asyncio.open_connection
 
 
 class Link:
@@ -73,13 +76,37 @@
     handler: Any, host: str, port: int, **options: Any
 ) -> asyncio.Server:
     """Start a server whose connections send small segments."""
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    listener.bind((host, port))
+    listener = _create_socket(host, port)
     return await _start_server(handler, sock=listener, **options)
 
 
+async def open_connection(
+    host: str,
+    port: int,
+    *,
+    local_addr: tuple[str, int] = ('', 0),
+    **options: Any,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection that sends small segments."""
+    sock = _create_socket(*local_addr)
+    try:
+        await asyncio.get_running_loop().sock_connect(sock, (host, port))
+    except BaseException:
+        sock.close()
+        raise
+    return await _open_connection(sock=sock, **options)
+
+
+def _create_socket(host: str, port: int) -> socket.socket:
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.bind((host, port))
+    return sock
+
+
 def share_link(link: Link) -> None:
     """Let all connections between nodes that are opened share a link."""
     create = FrameConnection.__init__
@@ -92,6 +119,7 @@
 
     FrameConnection.__init__ = create_on_link  # type: ignore[method-assign]
     asyncio.start_server = start_server  # type: ignore[assignment]
+    asyncio.open_connection = open_connection  # type: ignore[assignment]
 
 
 if __name__ == '__main__':
