Protocol: a call behind others on a slow link is not sent again

Callers saw requests answered late or not at all, and 502 or 'not run' for uploads, on links that were full for a moment: a request that was not acknowledged within 0.25 s was taken for lost, though it still waited in the buffers of its own host. A small body was sent again over a further channel, which filled the link with a second copy; a streamed one was cancelled.

The time for the acknowledgement begins again now while the bytes in front of the request move, or while bytes arrive behind which the acknowledgement may wait. With nothing queued it is what it was.

The test failed before: four calls of 10,000 bytes at 25,000 bytes/s needed a second channel.

--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -22,6 +22,7 @@
     TruncatedAnswerError,
 )
 from lycheespar.protocol.connection import FrameConnection
+from lycheespar.protocol.delivery import Delivery
 from lycheespar.protocol.framing import read_frame
 from lycheespar.protocol.heartbeat import Heartbeat
 from lycheespar.protocol.load_queries import LoadQueries
@@ -161,6 +162,7 @@
             )
         try:
             self._send_request(call, attach_only=attach_only)
+            pending.delivery = Delivery(self._connection)
             async with asyncio.timeout_at(call.deadline):
                 answer = await pending.answer
         except BaseException as error:
--- a/lycheespar/protocol/pending.py
+++ b/lycheespar/protocol/pending.py
@@ -13,11 +13,13 @@
     RequestError,
     request_error,
 )
+from lycheespar.protocol.delivery import Delivery
 from lycheespar.protocol.messages import Refused, Request
 from lycheespar.protocol.start_check import StartCheck
 
 # Time in seconds after which a call that the other node has not acknowledged
-# is given up on this channel, as the channel is taken to be silent.
+# is given up on this channel, as the channel is taken to be silent. The time
+# begins again while the request or the acknowledgement waits behind others.
 ACCEPT_TIMEOUT_S: Final = 0.25
 # Age in seconds past which the known clock of the other node is too old for new
 # calls. It is less than the age past which the other node no longer starts a
@@ -44,6 +46,10 @@
         The answer, or the error with which the call failed.
     cancel_result : asyncio.Future[bool]
         Whether the call may have started before it was cancelled.
+    check_at : float
+        Instant at which the acknowledgement is overdue.
+    delivery : Delivery | None
+        Follows the request on its way, once it is written.
     start_check : StartCheck | None
         Started instead of failing the call if it is not acknowledged in time.
     """
@@ -52,6 +58,8 @@
         'accepted',
         'answer',
         'cancel_result',
+        'check_at',
+        'delivery',
         'request_id',
         'sent_at',
         'start_check',
@@ -63,11 +71,18 @@
         """Record the time and create the futures."""
         self.request_id = request_id
         self.sent_at = loop.time()
+        self.check_at = self.sent_at + ACCEPT_TIMEOUT_S
+        self.delivery: Delivery | None = None
         self.accepted = False
         self.answer: asyncio.Future[Answer] = loop.create_future()
         self.cancel_result: asyncio.Future[bool] = loop.create_future()
         self.start_check: StartCheck | None = None
 
+    @property
+    def has_advanced(self) -> bool:
+        """Whether the request or its reply moved since the last look."""
+        return self.delivery is not None and self.delivery.has_advanced()
+
     @property
     def cancel_reliable(self) -> bool:
         """Whether a `CancelResult` for the call would be reliable.
@@ -189,17 +204,25 @@
     def _fail_overdue(self) -> None:
         """Give up the calls that were not acknowledged in time."""
         self._timer = None
-        cutoff = self._loop.time() - ACCEPT_TIMEOUT_S
-        overdue = [
-            call_id
+        now = self._loop.time()
+        due = [
+            (call_id, pending)
             for call_id, pending in self._unacknowledged.items()
-            if pending.sent_at <= cutoff
+            if pending.check_at <= now
         ]
-        for call_id in overdue:
-            _give_up(self._unacknowledged.pop(call_id))
+        overdue = []
+        for call_id, pending in due:
+            self._unacknowledged.pop(call_id)
+            if pending.has_advanced:
+                pending.check_at = now + ACCEPT_TIMEOUT_S
+                self._unacknowledged[call_id] = pending
+            else:
+                overdue.append(pending)
+        for unacknowledged in overdue:
+            _give_up(unacknowledged)
         oldest = next(iter(self._unacknowledged.values()), None)
         if oldest is not None:
-            self._schedule_check(max(0, oldest.sent_at - cutoff))
+            self._schedule_check(max(0, oldest.check_at - now))
         if overdue:
             self._on_unacknowledged()
 
--- a/lycheespar/tests/protocol/slow_links_tests.py
+++ b/lycheespar/tests/protocol/slow_links_tests.py
@@ -59,3 +59,13 @@
         monkeypatch.setattr(node.target, 'execute', _read_all)
         answer = await remote.execute(new_call(body=_chunks(1)))
         assert answer.body == str(CHUNK_BYTES).encode()
+
+
+async def test_a_call_behind_others_is_not_sent_twice(monkeypatch):
+    """Each copy fills the link further, until no call arrives in time."""
+    async with _slow_channel(monkeypatch) as (node, remote):
+        channel = await remote._get_channel()
+        calls = [new_call(body=bytes(10_000)) for _ in range(4)]
+        await asyncio.gather(*map(remote.execute, calls))
+        assert await remote._get_channel() is channel
+        assert node.target.executions['/book'] == len(calls)
