--- a/lycheespar/ingress/caller_server.py
+++ b/lycheespar/ingress/caller_server.py
@@ -7,7 +7,8 @@
 
 from aiohttp import web
 
-from lycheespar.ingress.connection import CallerConnection, EarlyCalls
+from lycheespar.ingress.connection import CallerConnection
+from lycheespar.ingress.early_calls import EarlyCalls
 from lycheespar.ingress.listener import accept_all_segments
 
 
--- a/lycheespar/ingress/connection.py
+++ b/lycheespar/ingress/connection.py
@@ -1,13 +1,11 @@
-"""Callers' connections: closing, reset, and answers to malformed requests."""
+"""Callers' connections: their requests, closing, and malformed requests."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from itertools import chain
-from typing import Any, Final, Protocol, cast
+from typing import Any, Final, cast
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
@@ -16,7 +14,6 @@
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
-from lycheespar.call import Answer
 from lycheespar.errors import (
     BadRequestError,
     InternalRequestError,
@@ -25,43 +22,20 @@
 from lycheespar.ingress.answers import problem_response
 from lycheespar.ingress.body import discard_rest
 from lycheespar.ingress.cut_report import CutReport
+from lycheespar.ingress.early_calls import (
+    MAX_HELD_BYTES,
+    EarlyCalls,
+    discard_call,
+    held_bytes,
+)
 from lycheespar.ingress.ending import ConnectionEnd, end_own_direction
 from lycheespar.ingress.message_queue import MessageQueue
 from lycheespar.ingress.request import CallerRequest
-from lycheespar.protocol.body import WINDOW_BYTES
 from lycheespar.protocol.sockets import tune_socket
-from lycheespar.streams import close_stream
 from lycheespar.telemetry.unhandled import report_unhandled
 from lycheespar.unparsed import UnparsedBytes
 
 INTERNAL_SERVER_ERROR: Final = 500
-# Answers in bytes that may wait for their turn on one connection before the
-# calls of further requests wait too.
-MAX_HELD_BYTES: Final = 1024 * 1024
-# Value of SO_LINGER: closing the socket discards unsent data and resets the
-# connection.
-_LINGER_RESET: Final = struct.pack('ii', 1, 0)
-
-
-class EarlyCalls(Protocol):
-    """Starts calls for requests that wait behind others on a connection."""
-
-    @property
-    def stopping(self) -> bool:
-        """Whether the node is stopping."""
-
-    @property
-    def max_body_bytes(self) -> int:
-        """Largest length in bytes of a request's body."""
-
-    def may_overtake(self, request: web.BaseRequest) -> bool:
-        """Return whether a request may run beside those around it."""
-
-    def start_call(self, request: CallerRequest) -> asyncio.Task[Answer]:
-        """Start the call for a request."""
-
-    def given_id(self, headers: Mapping[str, str]) -> str:
-        """Return the id that a caller gave a request; empty if none."""
 
 
 class CallerConnection(RequestHandler):
@@ -204,9 +178,9 @@
         super().connection_lost(exc)
         current = self._current
         if current is not None and not current.is_handled:
-            _discard_call(current.early_call)
+            discard_call(current.early_call)
         for request in self._early_requests.values():
-            _discard_call(request.early_call)
+            discard_call(request.early_call)
         self._early_requests.clear()
 
     def close(self) -> None:
@@ -406,7 +380,7 @@
         """Start the call for a waiting message, or return None if it waits."""
         if not isinstance(message, RawRequestMessage):
             return None
-        held = sum(map(_held_bytes, self._early_requests.values()))
+        held = sum(map(held_bytes, self._early_requests.values()))
         if held > MAX_HELD_BYTES:
             return None
         request = CallerRequest(
@@ -423,39 +397,3 @@
         request.early_call = self._early_calls.start_call(request)
         self._early_requests[id(message)] = request
         return request
-
-
-def reset_connection(request: web.BaseRequest) -> None:
-    """Reset a caller's connection to mark its answer as truncated.
-
-    An answer without a declared length ends with an ordinary close, so the
-    caller would take a truncated one for complete.
-    """
-    transport = request.transport
-    if transport is None:
-        return
-    sock = transport.get_extra_info('socket')
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
-    transport.abort()
-
-
-def _held_bytes(request: CallerRequest) -> int:
-    """Return the memory in bytes that an early answer may hold."""
-    call = request.early_call
-    if call is None or not call.done() or call.cancelled() or call.exception():
-        return 0
-    body = call.result().body
-    return len(body) if isinstance(body, bytes) else WINDOW_BYTES
-
-
-def _discard_call(call: asyncio.Task[Answer] | None) -> None:
-    """Cancel a call whose answer can't be sent, and release its answer."""
-    if call is None:
-        return
-    call.cancel()
-    call.add_done_callback(_release_answer)
-
-
-def _release_answer(call: asyncio.Task[Answer]) -> None:
-    if not call.cancelled() and call.exception() is None:
-        asyncio.ensure_future(close_stream(call.result().body))
--- a/lycheespar/ingress/ending.py
+++ b/lycheespar/ingress/ending.py
@@ -1,10 +1,14 @@
-"""Ends callers' connections without a reset that discards an answer."""
+"""How callers' connections end: without a loss of answers, or by a reset."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from typing import Final
 
+from aiohttp import web
+
 from lycheespar.protocol.sockets import unread_bytes, unsent_bytes
 
 # Time in seconds for which nothing moves on a connection that has ended, after
@@ -17,6 +21,9 @@
 MAX_DISCARD_S: Final = 60
 _POLL_INTERVAL_S: Final = 0.1
 _NEVER: Final = float('-inf')
+# Value of SO_LINGER: closing the socket discards unsent data and resets the
+# connection.
+_LINGER_RESET: Final = struct.pack('ii', 1, 0)
 
 
 class ConnectionEnd:
@@ -107,6 +114,20 @@
         transport.write_eof()
 
 
+def reset_connection(request: web.BaseRequest) -> None:
+    """Reset a caller's connection to mark its answer as truncated.
+
+    An answer without a declared length ends with an ordinary close, so the
+    caller would take a truncated one for complete.
+    """
+    transport = request.transport
+    if transport is None:
+        return
+    sock = transport.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+    transport.abort()
+
+
 def _unsent(transport: asyncio.Transport) -> int:
     """Return the bytes that the caller's system has not acknowledged."""
     sock = transport.get_extra_info('socket')
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -15,7 +15,8 @@
 from lycheespar.ingress.body import CallerBody
 from lycheespar.ingress.call_builder import CallBuilder
 from lycheespar.ingress.caller_server import CallerServer
-from lycheespar.ingress.connection import CallerConnection, reset_connection
+from lycheespar.ingress.connection import CallerConnection
+from lycheespar.ingress.ending import reset_connection
 from lycheespar.ingress.listener import ignore_new_connections, open_listener
 from lycheespar.ingress.request import CallerRequest
 from lycheespar.ingress.stop_admission import StopAdmission
