Refuse uploads that a stopping node may not finish

Callers saw: the connection of an upload that was taken late in a planned stop ended at the time limit of the stop, while a target ran it.

Cause: whether a request is taken whose deadline lies beyond the stop is judged by how long requests of its class usually take. For a request whose body is still on its way that says nothing: small uploads of a class let a large one in.

Such a request is taken only if its deadline is before the end of the stop, and is refused with 503, not run, otherwise. Evidence: early_answers_tests.py, test_a_stop_refuses_an_upload_that_it_may_not_finish: taken and answered 200 before. By a test only: no run of real processes has shown such a loss.

--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -275,6 +275,7 @@
             call.request_class,
             call.deadline,
             asyncio.get_running_loop().time(),
+            body_arrived=isinstance(call.body, bytes),
         )
         request.request_class = call.request_class
         request.deadline = call.deadline
--- a/lycheespar/ingress/stop_admission.py
+++ b/lycheespar/ingress/stop_admission.py
@@ -15,11 +15,11 @@
 class StopAdmission:
     """Refuses requests that a stopping node may not be able to finish.
 
-    A request is taken if its deadline is before the end of the stop, or if
-    requests of its class have recently been answered well within what is left.
-    Any other request could be cut off at the end, while a target runs it, so it
-    is refused at once. So are all requests that arrive once the node closes its
-    connections.
+    A request is taken if its deadline is before the end of the stop, or if its
+    body has arrived and requests of its class have recently been answered well
+    within what is left. Any other request could be cut off at the end, while a
+    target runs it, so it is refused at once. So are all requests that arrive
+    once the node closes its connections.
 
     Times are in seconds of the event loop's clock.
     """
@@ -71,9 +71,25 @@
         if duration_s > self._longest.get(request_class, 0):
             self._longest[request_class] = duration_s
 
-    def check(self, request_class: str, deadline: float, now: float) -> None:
+    def check(
+        self,
+        request_class: str,
+        deadline: float,
+        now: float,
+        *,
+        body_arrived: bool = True,
+    ) -> None:
         """Check that a request can be finished before the node stops.
 
+        Parameters
+        ----------
+        request_class : str
+            Class of the request.
+        deadline, now : float
+            Deadline of the request, and the current time.
+        body_arrived : bool
+            Whether the body has been read.
+
         Raises
         ------
         DrainingError
@@ -82,7 +98,8 @@
         if deadline <= self._ends_at:
             return
         left_s = self._left_s(now)
-        if DURATION_MARGIN * self._longest_s(request_class) < left_s:
+        usual_s = self._longest_s(request_class)
+        if body_arrived and DURATION_MARGIN * usual_s < left_s:
             return
         raise DrainingError(
             'the node is stopping and could not finish this request',
--- a/lycheespar/tests/ingress/early_answers_tests.py
+++ b/lycheespar/tests/ingress/early_answers_tests.py
@@ -169,6 +169,20 @@
         await stopping
 
 
+async def test_a_stop_refuses_an_upload_that_it_may_not_finish():
+    """Short uploads of its class told nothing of it; the stop cut it off."""
+    dispatch = GatedDispatch()
+    dispatch.release('/book')
+    async with uploading(dispatch, LIMIT_BYTES) as uploader:
+        await uploader.begin('/book', 3)
+        await uploader.send(b'abc')
+        assert (await uploader.read_answer())[0] == 200
+        uploader.server.drain(2)
+        await uploader.begin('/book', BODY_BYTES)
+        assert (await uploader.read_answer())[0] == 503
+    assert dispatch.paths == ['/book']
+
+
 async def test_a_body_without_end_is_not_discarded_forever():
     """Chunks are read up to the limit of bodies, then the connection ends."""
     dispatch = GatedDispatch()
