Bound what is discarded at the end of a connection

The end of a connection discarded as many bytes as a body may have, 1 GiB by default, also behind bytes that are no request. A caller that sends without end could keep the node reading for a minute. The rest of a body is read before that, so 4 MiB are enough for what was sent behind it; then the connection is closed.

--- a/lycheespar/ingress/connection.py
+++ b/lycheespar/ingress/connection.py
@@ -328,7 +328,7 @@
     async def _linger(self, transport: asyncio.Transport) -> None:
         """Discard what still arrives until the caller closes the connection."""
         self.cut_report.reason = 'the caller did not close the connection'
-        self._end.begin(transport, self._early_calls.max_body_bytes)
+        self._end.begin(transport)
         self._buffer_paused = False
         self._reading_paused = False
         self._resume_transport_reading()
--- a/lycheespar/ingress/ending.py
+++ b/lycheespar/ingress/ending.py
@@ -16,6 +16,9 @@
 LINGER_S: Final = 1
 # The same while the caller has not acknowledged all of an answer.
 UNSENT_STALL_S: Final = 20
+# Bytes that are discarded unread at the end of a connection, after which it is
+# closed all the same.
+MAX_UNREAD_BYTES: Final = 4 * 1024 * 1024
 # Longest time in seconds for which the caller is awaited after the last answer,
 # and for which the rest of a body is read, unless its deadline is later.
 MAX_DISCARD_S: Final = 60
@@ -43,27 +46,17 @@
         seconds on the event loop's clock; minus infinity if none was written.
     """
 
-    __slots__ = ('_discarded_bytes', '_limit_bytes', 'begun', 'moved_at')
+    __slots__ = ('_discarded_bytes', 'begun', 'moved_at')
 
     def __init__(self) -> None:
         """Create the end of a connection that goes on for now."""
         self.begun = False
         self.moved_at = _NEVER
         self._discarded_bytes = 0
-        self._limit_bytes = 0
 
-    def begin(self, transport: asyncio.Transport, limit_bytes: int) -> None:
-        """End the own direction; discard what arrives from now on.
-
-        Parameters
-        ----------
-        transport : asyncio.Transport
-            Transport of the connection.
-        limit_bytes : int
-            Bytes after which the connection is closed all the same.
-        """
+    def begin(self, transport: asyncio.Transport) -> None:
+        """End the own direction; discard what arrives from now on."""
         self.begun = True
-        self._limit_bytes = limit_bytes
         end_own_direction(transport)
 
     def discard(self, data: bytes) -> None:
@@ -102,7 +95,7 @@
             patience_s = UNSENT_STALL_S if unsent else LINGER_S
             if loop.time() - self.moved_at >= patience_s:
                 break
-            if self._discarded_bytes > self._limit_bytes:
+            if self._discarded_bytes > MAX_UNREAD_BYTES:
                 break
             await asyncio.sleep(_POLL_INTERVAL_S)
         transport.close()
--- a/lycheespar/tests/end_to_end/soak_tests.py
+++ b/lycheespar/tests/end_to_end/soak_tests.py
@@ -52,6 +52,16 @@
     assert soak.faults.acknowledged > 1
 
 
+async def test_uploads_get_their_answers_whole_in_planned_stops(tmp_path):
+    """Connections were reset while the bodies of their requests arrived."""
+    soak = Soak(load_scenario(SCENARIOS / 'uploads.json'), tmp_path, 8)
+    await soak.run(SECONDS, ['stops', 'early_answers'], '')
+    assert not soak.losses()
+    assert not soak.faults.exits
+    assert not soak.unhandled
+    assert soak.ledger.stops
+
+
 def _exchange(**fields: object) -> Exchange:
     known = {'attempt': 'a', 'node': 'n', 'request_class': 'c'}
     times = {'sent_at': 10, 'last_byte_at': 10, 'deadline': 20}
--- a/lycheespar/tests/ingress/early_answers_tests.py
+++ b/lycheespar/tests/ingress/early_answers_tests.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lycheespar.ingress.ending import MAX_UNREAD_BYTES
 from lycheespar.tests.ingress.callers import (
     TIMEOUT_S,
     GatedDispatch,
@@ -215,3 +216,16 @@
         uploader.close()
         async with asyncio.timeout(TIMEOUT_S):
             await stopping
+
+
+async def test_a_caller_that_sends_on_after_its_refusal_is_cut_off():
+    """What is no request must not be read without a bound."""
+    dispatch = GatedDispatch()
+    sent = 0
+    async with uploading(dispatch, LIMIT_BYTES) as uploader:
+        await uploader.send(b'nonsense\r\n\r\n')
+        assert (await uploader.read_answer())[0] == 400
+        with pytest.raises(OSError):
+            while sent < 20 * MAX_UNREAD_BYTES:
+                await uploader.send(b'x' * PIECE_BYTES)
+                sent += PIECE_BYTES
