--- a/lycheespar/ingress/ending.py
+++ b/lycheespar/ingress/ending.py
@@ -1,10 +1,14 @@
-"""Ends callers' connections without a reset that discards an answer."""
+"""How callers' connections end: without a loss of answers, or by a reset."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from typing import Final
 
+from aiohttp import web
+
 from lycheespar.protocol.sockets import unread_bytes, unsent_bytes
 
 # Time in seconds for which nothing moves on a connection that has ended, after
@@ -12,11 +16,17 @@
 LINGER_S: Final = 1
 # The same while the caller has not acknowledged all of an answer.
 UNSENT_STALL_S: Final = 20
+# Bytes that are discarded unread at the end of a connection, after which it is
+# closed all the same.
+MAX_UNREAD_BYTES: Final = 4 * 1024 * 1024
 # Longest time in seconds for which the caller is awaited after the last answer,
 # and for which the rest of a body is read, unless its deadline is later.
 MAX_DISCARD_S: Final = 60
 _POLL_INTERVAL_S: Final = 0.1
 _NEVER: Final = float('-inf')
+# Value of SO_LINGER: closing the socket discards unsent data and resets the
+# connection.
+_LINGER_RESET: Final = struct.pack('ii', 1, 0)
 
 
 class ConnectionEnd:
@@ -36,27 +46,17 @@
         seconds on the event loop's clock; minus infinity if none was written.
     """
 
-    __slots__ = ('_discarded_bytes', '_limit_bytes', 'begun', 'moved_at')
+    __slots__ = ('_discarded_bytes', 'begun', 'moved_at')
 
     def __init__(self) -> None:
         """Create the end of a connection that goes on for now."""
         self.begun = False
         self.moved_at = _NEVER
         self._discarded_bytes = 0
-        self._limit_bytes = 0
-
-    def begin(self, transport: asyncio.Transport, limit_bytes: int) -> None:
-        """End the own direction; discard what arrives from now on.
 
-        Parameters
-        ----------
-        transport : asyncio.Transport
-            Transport of the connection.
-        limit_bytes : int
-            Bytes after which the connection is closed all the same.
-        """
+    def begin(self, transport: asyncio.Transport) -> None:
+        """End the own direction; discard what arrives from now on."""
         self.begun = True
-        self._limit_bytes = limit_bytes
         end_own_direction(transport)
 
     def discard(self, data: bytes) -> None:
@@ -95,7 +95,7 @@
             patience_s = UNSENT_STALL_S if unsent else LINGER_S
             if loop.time() - self.moved_at >= patience_s:
                 break
-            if self._discarded_bytes > self._limit_bytes:
+            if self._discarded_bytes > MAX_UNREAD_BYTES:
                 break
             await asyncio.sleep(_POLL_INTERVAL_S)
         transport.close()
@@ -107,6 +107,20 @@
         transport.write_eof()
 
 
+def reset_connection(request: web.BaseRequest) -> None:
+    """Reset a caller's connection to mark its answer as truncated.
+
+    An answer without a declared length ends with an ordinary close, so the
+    caller would take a truncated one for complete.
+    """
+    transport = request.transport
+    if transport is None:
+        return
+    sock = transport.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+    transport.abort()
+
+
 def _unsent(transport: asyncio.Transport) -> int:
     """Return the bytes that the caller's system has not acknowledged."""
     sock = transport.get_extra_info('socket')
