Protocol: a streamed request that was read outlives its channel

Callers saw 502 while their target was at work. Cause: a streamed body can't be sent again, so a call whose channel was lost was cancelled at the other node, also when that node had the whole body and only the answer was due.

Such a call is continued on a new channel now, as others are: if the node acknowledged it and the body was written to its end, the sender attaches to the run and gets its answer. If the end of the body was lost with the channel, the node ends the run, and the caller gets an unknown outcome as before; a node to which a sender attaches no longer waits for the body on the earlier channel.

The test failed before with 'channel lost', for a channel that was closed and for one that went silent.

--- a/lycheespar/admission/duplicates.py
+++ b/lycheespar/admission/duplicates.py
@@ -51,6 +51,9 @@
     def refuse(self, call_id: bytes, error: RequestError) -> None:
         """Send an error."""
 
+    def end_body(self, call_id: bytes) -> None:
+        """Fail the body of a request unless all of it has arrived."""
+
 
 class _TrackedExecution:
     """Execution of a call, running or recently finished."""
@@ -235,6 +238,8 @@
         return False
 
     def _attach(self, tracked: _TrackedExecution, sender: Sender) -> None:
+        if tracked.sender is not None and tracked.sender is not sender:
+            tracked.sender.end_body(tracked.call.call_id)
         tracked.sender = sender
         if tracked.detach_timer is not None:
             tracked.detach_timer.cancel()
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -94,6 +94,8 @@
     ----------
     accepted : bool
         Whether the other node had acknowledged the call.
+    body_sent : bool
+        Whether the body of the call was written to its end.
     """
 
     code = 'channel_lost'
@@ -102,6 +104,7 @@
         """Create an error that says whether the call was acknowledged."""
         super().__init__(detail)
         self.accepted = accepted
+        self.body_sent = True
 
 
 class ChannelClosedError(ChannelLostError):
--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -45,7 +45,7 @@
 )
 from lycheespar.protocol.pending import PendingCall, PendingCalls, build_request
 from lycheespar.protocol.quota_requests import QuotaRequests
-from lycheespar.protocol.start_check import CancelElsewhere, StartCheck
+from lycheespar.protocol.start_check import CancelElsewhere
 from lycheespar.quotas.grant import QuotaGrant
 from lycheespar.streams import GuardedStream
 
@@ -104,7 +104,7 @@
         self._load_queries = LoadQueries(connection)
         self.quotas = QuotaRequests(connection)
         self._pending = PendingCalls(peer.clock_ms, self._retire)
-        self._body_tasks: dict[bytes, asyncio.Task[None]] = {}
+        self._body_tasks: dict[bytes, asyncio.Task[bool]] = {}
         self._heartbeat = Heartbeat(
             connection,
             self._pending,
@@ -155,29 +155,28 @@
         """
         if not self.usable:
             raise ChannelClosedError
-        pending = self._pending.add(call.call_id, call.request_id)
-        if cancel_elsewhere is not None:
-            pending.start_check = StartCheck(
-                call.call_id, pending.answer, cancel_elsewhere
-            )
+        pending = self._pending.add(
+            call.call_id, call.request_id, cancel_elsewhere
+        )
+        answer: Answer | None = None
         try:
             self._send_request(call, attach_only=attach_only)
             pending.delivery = Delivery(self._connection)
             async with asyncio.timeout_at(call.deadline):
                 answer = await pending.answer
-        except BaseException as error:
+        except ChannelLostError as error:
+            error.body_sent = self._stop_sending_body(call.call_id)
+            raise
+        except TimeoutError as error:
             self._stop_sending_body(call.call_id)
-            if isinstance(error, TimeoutError):
-                raise await self._cancel_expired(
-                    call.call_id, pending
-                ) from error
-            if isinstance(error, asyncio.CancelledError):
-                self._connection.send(Cancel(call.call_id, pending.accepted))
+            raise await self._cancel_expired(call.call_id, pending) from error
+        except asyncio.CancelledError:
+            self._connection.send(Cancel(call.call_id, pending.accepted))
             raise
         finally:
             self._pending.remove(call.call_id)
-        if isinstance(answer.body, bytes):
-            self._stop_sending_body(call.call_id)
+            if answer is None or isinstance(answer.body, bytes):
+                self._stop_sending_body(call.call_id)
         return answer
 
     async def cancel(
@@ -284,7 +283,7 @@
                 call, self._pending.clock_ms, attach_only=attach_only
             ),
         )
-        if not isinstance(call.body, bytes):
+        if not (attach_only or isinstance(call.body, bytes)):
             self._body_tasks[call.call_id] = asyncio.create_task(
                 self._connection.send_body(
                     call.call_id,
@@ -293,11 +292,15 @@
                 ),
             )
 
-    def _stop_sending_body(self, call_id: bytes) -> None:
-        """Stop sending the streamed body of a request."""
+    def _stop_sending_body(self, call_id: bytes) -> bool:
+        """Stop sending a streamed body; return whether it was written."""
         task = self._body_tasks.pop(call_id, None)
-        if task is not None:
-            task.cancel()
+        if task is None:
+            return True
+        if task.done():
+            return not task.cancelled() and task.result()
+        task.cancel()
+        return False
 
     async def _read_messages(self) -> None:
         """Handle the messages of the other node until the connection ends."""
--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -143,7 +143,7 @@
         body: AsyncIterator[bytes],
         *,
         on_demand: bool = False,
-    ) -> None:
+    ) -> bool:
         """Stream a body within the credit granted by its receiver.
 
         If reading the body fails, the code of the error is sent at its end.
@@ -156,6 +156,11 @@
             The body.
         on_demand : bool
             Whether the body is not read until the receiver grants credit.
+
+        Returns
+        -------
+        bool
+            Whether the whole body was written.
         """
         window = SendWindow(0) if on_demand else SendWindow()
         self._windows[call_id] = window
@@ -175,9 +180,11 @@
             log.debug('A body was not sent to its end: {!r}.', error)
         else:
             self.send(BodyEnd(call_id, length, ''))
+            return not self.closing
         finally:
             self._windows.pop(call_id, None)
             await close_stream(body)
+        return False
 
     def handle_body_message(
         self,
@@ -208,6 +215,12 @@
         """Discard the receiver of a body and ignore its further messages."""
         self._receivers.pop(call_id, None)
 
+    def fail_body(self, call_id: bytes, error: LycheesparError) -> None:
+        """Fail a body that is still being received, if there is one."""
+        receiver = self._receivers.pop(call_id, None)
+        if receiver is not None:
+            receiver.fail(error)
+
     def report_unhandled(
         self, error: Exception, requests: Iterable[str]
     ) -> None:
--- a/lycheespar/protocol/incoming_channel.py
+++ b/lycheespar/protocol/incoming_channel.py
@@ -156,6 +156,10 @@
             ),
         )
 
+    def end_body(self, call_id: bytes) -> None:
+        """Fail the body of a request unless all of it has arrived."""
+        self._connection.fail_body(call_id, BadRequestError('channel lost'))
+
     def _clock_ms(self) -> int:
         return int(self._loop.time() * MS_PER_S)
 
--- a/lycheespar/protocol/pending.py
+++ b/lycheespar/protocol/pending.py
@@ -15,7 +15,7 @@
 )
 from lycheespar.protocol.delivery import Delivery
 from lycheespar.protocol.messages import Refused, Request
-from lycheespar.protocol.start_check import StartCheck
+from lycheespar.protocol.start_check import CancelElsewhere, StartCheck
 
 # Time in seconds after which a call that the other node has not acknowledged
 # is given up on this channel, as the channel is taken to be silent. The time
@@ -154,9 +154,22 @@
         """Return the pending call with an id, if there is one."""
         return self._calls.get(call_id)
 
-    def add(self, call_id: bytes, request_id: str = '') -> PendingCall:
-        """Add a call that is about to be sent."""
+    def add(
+        self,
+        call_id: bytes,
+        request_id: str = '',
+        cancel_elsewhere: CancelElsewhere | None = None,
+    ) -> PendingCall:
+        """Add a call that is about to be sent.
+
+        If `cancel_elsewhere` is given and the call is not acknowledged in
+        time, it is cancelled with it unless it has started.
+        """
         pending = PendingCall(self._loop, request_id)
+        if cancel_elsewhere is not None:
+            pending.start_check = StartCheck(
+                call_id, pending.answer, cancel_elsewhere
+            )
         self._calls[call_id] = pending
         self._unacknowledged[call_id] = pending
         if self._timer is None:
--- a/lycheespar/protocol/remote_node.py
+++ b/lycheespar/protocol/remote_node.py
@@ -7,6 +7,7 @@
 
 from lycheespar.call import Answer, Call, Load
 from lycheespar.errors import (
+    BadRequestError,
     CancelledRequestError,
     ChannelConnectError,
     ChannelError,
@@ -14,6 +15,7 @@
     DeadlineExceededError,
     DeadlineUnreachableError,
     OutcomeUnknownError,
+    RequestBodyAbortedError,
     RequestError,
 )
 from lycheespar.protocol.channel import Channel
@@ -33,12 +35,19 @@
 class _LostCall:
     """A call whose channel was lost."""
 
-    __slots__ = ('_resend_until', 'accepted', 'call', 'incarnation')
+    __slots__ = (
+        '_body_sent',
+        '_resend_until',
+        'accepted',
+        'call',
+        'incarnation',
+    )
 
     def __init__(self, call: Call, incarnation: int, sent_at: float) -> None:
         self.call = call
         self.incarnation = incarnation
         self.accepted = False
+        self._body_sent = True
         self._resend_until = sent_at + RESEND_PERIOD_S
 
     @property
@@ -47,8 +56,20 @@
         now = asyncio.get_running_loop().time()
         return now < min(self._resend_until, self.call.deadline)
 
+    @property
+    def may_continue(self) -> bool:
+        """Whether the call may end on another channel.
+
+        A streamed body can't be sent again, but its run goes on if the other
+        node may have the whole of it.
+        """
+        if isinstance(self.call.body, bytes):
+            return True
+        return self.accepted and self._body_sent
+
     def record_loss(self, error: ChannelLostError) -> None:
         """Record that a channel was lost while it carried the call."""
+        self._body_sent = self._body_sent and error.body_sent
         if error.accepted:
             self.accepted = True
             now = asyncio.get_running_loop().time()
@@ -216,16 +237,16 @@
             return False
 
     async def _recover(self, lost: _LostCall) -> Answer:
-        """Resend a call whose channel was lost, or cancel a streamed one."""
+        """Resend a call whose channel was lost, or cancel a streamed one.
+
+        A streamed call whose body was sent is continued, not cancelled.
+        """
         while True:
             channel = await self._reopen(lost)
-            if not isinstance(lost.call.body, bytes):
+            if not lost.may_continue:
                 raise await _cancel_lost(channel, lost)
             try:
-                return await channel.execute(
-                    lost.call,
-                    attach_only=lost.accepted,
-                )
+                return await _continue(channel, lost)
             except ChannelLostError as error:
                 lost.record_loss(error)
 
@@ -292,6 +313,22 @@
     await asyncio.sleep(REOPEN_DELAY_S)
 
 
+async def _continue(channel: Channel, lost: _LostCall) -> Answer:
+    """Send a call again, or attach to its execution.
+
+    Raises
+    ------
+    OutcomeUnknownError
+        The end of a streamed body was lost with the first channel.
+    """
+    try:
+        return await channel.execute(lost.call, attach_only=lost.accepted)
+    except (BadRequestError, RequestBodyAbortedError) as error:
+        if isinstance(lost.call.body, bytes):
+            raise
+        raise OutcomeUnknownError('channel lost') from error
+
+
 async def _cancel_lost(channel: Channel, lost: _LostCall) -> RequestError:
     """Cancel a call whose streamed body can't be resent; return its error."""
     call_id = lost.call.call_id
--- a/lycheespar/tests/protocol/remote_node_tests.py
+++ b/lycheespar/tests/protocol/remote_node_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
 
 import pytest
 
@@ -261,6 +262,42 @@
         assert node.target.executions['/book'] == 1
 
 
+@pytest.mark.parametrize('silent', [False, True])
+async def test_streamed_request_that_was_read_survives_its_channel(silent):
+    """The run was cancelled at work, and its caller got a 502."""
+    async with running_node() as node:
+        node.target.may_end.clear()
+        call = new_call(body=_chunks(b'a'))
+        task = asyncio.create_task(node.remote.execute(call))
+        await node.target.called.wait()
+        (tracked,) = node.executions._executions.values()
+        assert [chunk async for chunk in tracked.call.body] == [b'a']
+        if silent:
+            node.link.discard_open_traffic()
+        else:
+            await _break_channel(node)
+        asyncio.get_running_loop().call_later(2, node.target.may_end.set)
+        answer = await task
+        assert answer.body == b'whole'
+        assert node.target.executions == {'/book': 1}
+
+
+async def test_streamed_request_that_was_cut_has_an_unknown_outcome(
+    monkeypatch,
+):
+    """A caller that sent its whole body must not be told that it is cut."""
+    async with running_node() as node:
+
+        async def body() -> AsyncIterator[bytes]:
+            yield b'a'
+            node.link.discard_open_traffic(down=False)
+            yield b'b'
+
+        monkeypatch.setattr(node.target, 'execute', _read_body)
+        with pytest.raises(OutcomeUnknownError, match='channel lost'):
+            await node.remote.execute(new_call(body=body()))
+
+
 async def test_close_while_a_channel_opens_raises_a_connect_error(monkeypatch):
     async def never(*_: object) -> None:
         await asyncio.Event().wait()
