Control hosts: a deeply nested request doesn't stop the reader

Seen: while one connection sent requests with 5,000 nested arrays, the task that reads requests ended 32 times in 4 s with RecursionError (event task_failed) and was started again after 0.2 s each time, in which nobody got a reply.

Cause: msgspec reports nesting beyond the interpreter's limit as RecursionError, not as DecodeError. The decoders of gossip and of JSON handle that; those of the links between hosts did not.

The new test fails without the change: the failure of the task is reported. Both decoders of the links now take the error for a malformed message.

--- a/lycheespar/control/link.py
+++ b/lycheespar/control/link.py
@@ -170,7 +170,7 @@
                 continue
             try:
                 reply.set_result(self._decoder.decode(payload))
-            except msgspec.DecodeError as error:
+            except (msgspec.DecodeError, RecursionError) as error:
                 log.warning("Can't decode a control host's reply: {}.", error)
 
 
@@ -224,7 +224,7 @@
                 continue
             try:
                 request = self._decoder.decode(frames[2])
-            except msgspec.DecodeError as error:
+            except (msgspec.DecodeError, RecursionError) as error:
                 log.warning("Can't decode a request: {}.", error)
                 continue
             task = asyncio.create_task(
