Nodes: bound what a channel costs before and after its Hello

Seen with 40 connections to the port between nodes, each with a frame that declares 1 MB and stops before its end: the node grew from 51 to 93 MB, kept as long as the connections stayed; 30 connections with requests of 900 KB and no Hello: 99 MB. Nodes have 200 MB. The number of such connections and of silent ones had no bound.

Cause: a node handled any frame as soon as a connection was open, a Hello was neither required nor awaited for a limited time, and the limit of 1 MB a frame held for each connection by itself.

The raw channels of server_tests now begin with a Hello, as nodes do.

--- a/lycheespar/protocol/framing.py
+++ b/lycheespar/protocol/framing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import struct
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -34,13 +35,26 @@
     return _HEADER.pack(len(payload), PROTOCOL_VERSION) + payload
 
 
-async def read_frame(reader: asyncio.StreamReader) -> Message:
+async def read_frame(
+    reader: asyncio.StreamReader,
+    max_bytes: int = MAX_FRAME_BYTES,
+    begin: Callable[[int], None] | None = None,
+) -> Message:
     """Read one message.
 
+    Parameters
+    ----------
+    reader : asyncio.StreamReader
+        Reading end of the connection.
+    max_bytes : int
+        Largest payload that is accepted.
+    begin : Callable[[int], None] | None
+        Called with the size of the payload once the header has arrived.
+
     Raises
     ------
     FrameTooLargeError
-        The frame's header declares more than `MAX_FRAME_BYTES`.
+        The frame's header declares more than `max_bytes`.
     FrameVersionError
         The version is unknown, or the payload is not a known message.
     asyncio.IncompleteReadError
@@ -50,10 +64,12 @@
     length, version = _HEADER.unpack(header)
     if version != PROTOCOL_VERSION:
         raise FrameVersionError(f'unknown protocol version {version}')
-    if length > MAX_FRAME_BYTES:
+    if length > max_bytes:
         raise FrameTooLargeError(f'received frame has {length} bytes')
+    if begin is not None:
+        begin(length)
     payload = await reader.readexactly(length)
     try:
         return _decoder.decode(payload)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise FrameVersionError(str(error)) from error
--- a/lycheespar/protocol/incoming_channel.py
+++ b/lycheespar/protocol/incoming_channel.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from functools import partial
 from typing import Final
 
 from msgspec.structs import replace
@@ -12,6 +13,7 @@
 from lycheespar.admission.key_records import KeyRecords
 from lycheespar.call import Answer, Call, Load
 from lycheespar.errors import BadRequestError, ProtocolError, RequestError
+from lycheespar.protocol.channel_limits import ChannelLimits
 from lycheespar.protocol.connection import FrameConnection
 from lycheespar.protocol.framing import read_frame
 from lycheespar.protocol.messages import (
@@ -36,12 +38,18 @@
     QuotaGrants,
     handle_quota_message,
 )
+from lycheespar.telemetry.error_events import ChannelRejected
+from lycheespar.telemetry.event_log import events
 
 # Age in milliseconds past which a request no longer starts a call, as it may be
 # a late copy. Senders resend calls for `RESEND_PERIOD_S`; the sum of both times
 # must stay below the time for which the ids of calls are remembered.
 MAX_REQUEST_AGE_MS: Final = 15_000
 MS_PER_S: Final = 1000
+# Longest time in seconds from the opening of a channel to its `Hello`, and the
+# largest payload of that frame.
+HELLO_TIMEOUT_S: Final = 5
+MAX_HELLO_BYTES: Final = 4096
 
 
 class IncomingChannel:
@@ -59,6 +67,8 @@
         Outcomes of idempotency keys.
     quotas : QuotaGrants
         Quotas that this node owns.
+    limits : ChannelLimits
+        Limits that all channels of the server share.
 
     Attributes
     ----------
@@ -70,6 +80,7 @@
     __slots__ = (
         '_connection',
         '_executions',
+        '_limits',
         '_load',
         '_loop',
         '_quotas',
@@ -84,8 +95,10 @@
         load: Callable[[], Load],
         records: KeyRecords,
         quotas: QuotaGrants,
+        limits: ChannelLimits,
     ) -> None:
         """Wrap an open connection; `run` serves it."""
+        self._limits = limits
         self._quotas = quotas
         self._connection = FrameConnection(writer)
         self._executions = executions
@@ -110,11 +123,11 @@
         """Handle messages until the channel ends, then detach its calls."""
         self._connection.send(replace(hello, clock_ms=self._clock_ms()))
         try:
-            while True:
-                message = await read_frame(reader)
-                self.last_message_at = self._loop.time()
-                self._handle_message(message)
-        except (OSError, EOFError, ProtocolError):
+            await self._read_hello(reader)
+            await self._read_messages(reader)
+        except ProtocolError as error:
+            events.write(ChannelRejected(error.code))
+        except (OSError, EOFError):
             return
         except Exception as error:  # reported with the calls that it ends
             self._connection.report_unhandled(
@@ -156,6 +169,32 @@
             ),
         )
 
+    async def _read_hello(self, reader: asyncio.StreamReader) -> None:
+        """Read the first message, which must be a `Hello`.
+
+        Raises
+        ------
+        ProtocolError
+            The message is another one.
+        TimeoutError
+            No message arrived in time.
+        """
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            message = await read_frame(reader, MAX_HELLO_BYTES)
+        if not isinstance(message, Hello):
+            raise ProtocolError('first message is not a Hello')
+        self.last_message_at = self._loop.time()
+        self._limits.identify(self)
+
+    async def _read_messages(self, reader: asyncio.StreamReader) -> None:
+        """Handle messages until the channel ends."""
+        begin = partial(self._limits.begin_frame, self)
+        while True:
+            message = await read_frame(reader, begin=begin)
+            self._limits.end_frame(self)
+            self.last_message_at = self._loop.time()
+            self._handle_message(message)
+
     def _clock_ms(self) -> int:
         return int(self._loop.time() * MS_PER_S)
 
--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -11,6 +11,7 @@
 from lycheespar.background import start_background
 from lycheespar.call import Load
 from lycheespar.errors import ProtocolError
+from lycheespar.protocol.channel_limits import ChannelLimits
 from lycheespar.protocol.incoming_channel import IncomingChannel
 from lycheespar.protocol.messages import (
     Hello,
@@ -22,6 +23,9 @@
 # Time in seconds without a message after which a channel is closed. The node
 # that opened the channel sends heartbeats more often than this.
 SILENCE_TIMEOUT_S: Final = 30
+# Bytes that the buffer of a channel holds before reading pauses, at most twice
+# as many.
+READ_BUFFER_BYTES: Final = 16 * 1024
 
 
 class ChannelServer:
@@ -45,6 +49,7 @@
         '_channels',
         '_executions',
         '_hello',
+        '_limits',
         '_load',
         '_quotas',
         '_records',
@@ -66,6 +71,7 @@
         self._executions = executions
         self._load = load
         self._hello = hello
+        self._limits = ChannelLimits()
         self._channels: set[IncomingChannel] = set()
         self._server: asyncio.Server | None = None
         self._sweep_task: asyncio.Task[None] | None = None
@@ -87,7 +93,7 @@
     async def start(self, host: str, port: int) -> None:
         """Listen on an address and start the check for silent channels."""
         self._server = await asyncio.start_server(
-            self._serve_channel, host, port
+            self._serve_channel, host, port, limit=READ_BUFFER_BYTES
         )
         self._sweep_task = start_background(
             'silent channels', self._close_silent
@@ -119,12 +125,15 @@
             self._load,
             self._records,
             self._quotas,
+            self._limits,
         )
         self._channels.add(channel)
+        self._limits.add(channel)
         try:
             await channel.run(reader, self._hello)
         finally:
             self._channels.discard(channel)
+            self._limits.remove(channel)
 
     async def _close_silent(self) -> None:
         """Close the channels that have gone silent."""
--- a/lycheespar/telemetry/error_events.py
+++ b/lycheespar/telemetry/error_events.py
@@ -36,3 +36,18 @@
     connection: str = ''
     requests: tuple[str, ...] = ()
     task: str = ''
+
+
+class ChannelRejected(Event, frozen=True, tag='channel_rejected'):
+    """A channel from another node was closed, as it exceeded a limit.
+
+    Attributes
+    ----------
+    reason : str
+        The limit, or what was wrong with a message of the channel.
+    """
+
+    part: ClassVar[str] = 'protocol'
+    rate_limited: ClassVar[bool] = True
+
+    reason: str
--- a/lycheespar/tests/protocol/server_tests.py
+++ b/lycheespar/tests/protocol/server_tests.py
@@ -18,7 +18,7 @@
     Refused,
 )
 from lycheespar.protocol.pending import build_request
-from lycheespar.tests.protocol.nodes import Node, new_call, running_node
+from lycheespar.tests.protocol.nodes import CLIENT, Node, new_call, running_node
 
 
 class _RawChannel:
@@ -30,6 +30,7 @@
         )
         hello = await self.read()
         assert isinstance(hello, Hello)
+        self.send(CLIENT)
         return hello
 
     async def read(self) -> Message:
