Nodes: one peer's messages neither block the event loop nor its replies memory

Seen with 30 connections that send a Hello and then pings without end, whose replies nobody reads: an ordinary request got 504 after 4 s; with Hellos without end, none was answered within 6 s.

Cause: frames that are in the buffer are read without a turn of the event loop, some 10,000 pings at once on each connection. Replies were buffered without a bound (6.2 MB for one peer in the test).

A channel now gives way after 16 messages. It is read no further while its peer has more than 256 KB of replies to take and all peers together 16 MB.

--- a/lycheespar/protocol/channel_limits.py
+++ b/lycheespar/protocol/channel_limits.py
@@ -18,6 +18,10 @@
 SMALL_FRAME_BYTES: Final = 16 * 1024
 # Payloads of unfinished frames that are reserved at once.
 MAX_UNFINISHED_BYTES: Final = 16 * 1024 * 1024
+# Replies that wait for one peer, up to which its messages are always read.
+FAIR_UNSENT_BYTES: Final = 256 * 1024
+# Replies that wait for all peers.
+MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
 
 
 class LimitedChannel(Protocol):
@@ -25,6 +29,10 @@
 
     last_message_at: float
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of replies that the peer has not taken."""
+
     def abort(self) -> None:
         """Close the channel at once."""
 
@@ -86,6 +94,13 @@
         """Release the bytes of a frame that has arrived."""
         self._unfinished.pop(channel, None)
 
+    def must_pause(self, channel: LimitedChannel) -> bool:
+        """Return whether a channel's peer must take replies first."""
+        if channel.unsent_bytes <= FAIR_UNSENT_BYTES:
+            return False
+        unsent = sum(sending.unsent_bytes for sending in self._identified)
+        return unsent > MAX_UNSENT_BYTES
+
     @property
     def _count(self) -> int:
         return len(self._unidentified) + len(self._identified)
--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -50,6 +50,11 @@
         """Whether the connection is closed or closing."""
         return self._writer.is_closing()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that are buffered for sending."""
+        return self._writer.transport.get_write_buffer_size()
+
     @property
     def sending_bodies(self) -> bool:
         """Whether a streamed body is being sent."""
--- a/lycheespar/protocol/incoming_channel.py
+++ b/lycheespar/protocol/incoming_channel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import AsyncIterator, Callable
 from functools import partial
 from typing import Final
@@ -50,6 +51,8 @@
 # largest payload of that frame.
 HELLO_TIMEOUT_S: Final = 5
 MAX_HELLO_BYTES: Final = 4096
+# Messages that are handled before other channels get their turn.
+MESSAGES_PER_TURN: Final = 16
 
 
 class IncomingChannel:
@@ -107,6 +110,11 @@
         self._loop = asyncio.get_running_loop()
         self.last_message_at = self._loop.time()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of replies that the peer has not taken."""
+        return self._connection.unsent_bytes
+
     def close(self) -> None:
         """Close the channel once its buffer is sent."""
         self._connection.close()
@@ -187,13 +195,21 @@
         self._limits.identify(self)
 
     async def _read_messages(self, reader: asyncio.StreamReader) -> None:
-        """Handle messages until the channel ends."""
+        """Handle messages until the channel ends.
+
+        Reading pauses while the peer does not take replies, and now and then
+        for the other channels.
+        """
         begin = partial(self._limits.begin_frame, self)
-        while True:
+        for count in itertools.count(1):
             message = await read_frame(reader, begin=begin)
             self._limits.end_frame(self)
             self.last_message_at = self._loop.time()
             self._handle_message(message)
+            if self._limits.must_pause(self):
+                await self._connection.drain()
+            if count % MESSAGES_PER_TURN == 0:
+                await asyncio.sleep(0)
 
     def _clock_ms(self) -> int:
         return int(self._loop.time() * MS_PER_S)
--- a/lycheespar/tests/protocol/limits_tests.py
+++ b/lycheespar/tests/protocol/limits_tests.py
@@ -13,10 +13,13 @@
     encode_frame,
     read_frame,
 )
+from lycheespar.protocol.incoming_channel import IncomingChannel
 from lycheespar.protocol.messages import (
     Accepted,
     AnswerHead,
     Hello,
+    LoadRequest,
+    Ping,
 )
 from lycheespar.protocol.pending import build_request
 from lycheespar.protocol.version import PROTOCOL_VERSION
@@ -126,6 +129,36 @@
             open_peer.writer.close()
 
 
+async def test_messages_of_one_peer_do_not_keep_others_waiting():
+    async with running_node() as node:
+        peer = _Peer()
+        await peer.open(node, encode_frame(CLIENT))
+        turns = 0
+        peer.writer.write(encode_frame(Ping(1)) * 1000)
+        replies = asyncio.create_task(_read_replies(peer, 1000))
+        while not replies.done():
+            await asyncio.sleep(0)
+            turns += 1
+        assert turns > 1000 / incoming_channel.MESSAGES_PER_TURN
+        peer.writer.close()
+
+
+async def test_no_messages_are_read_of_a_peer_that_takes_no_replies(
+    monkeypatch,
+):
+    monkeypatch.setattr(channel_limits, 'FAIR_UNSENT_BYTES', 64 * 1024)
+    monkeypatch.setattr(channel_limits, 'MAX_UNSENT_BYTES', 128 * 1024)
+    async with running_node() as node:
+        peer = _Peer()
+        await peer.open(node, encode_frame(CLIENT))
+        (channel,) = node.server._channels
+        peer.writer.write(encode_frame(LoadRequest(1)) * 600_000)
+        await _wait_until_no_message_arrives(channel)
+        assert channel.unsent_bytes < 256 * 1024
+        await _check_call(node)
+        peer.writer.transport.abort()
+
+
 def test_channels_beyond_the_limit_close_the_most_silent_one():
     limits = ChannelLimits(max_channels=2)
     channels = [_Channel(last_message_at) for last_message_at in (2, 1, 3)]
@@ -140,8 +173,21 @@
 
     def __init__(self, last_message_at: float) -> None:
         self.last_message_at = last_message_at
+        self.unsent_bytes = 0
         self.aborted = False
 
     def abort(self) -> None:
         """Record the close."""
         self.aborted = True
+
+
+async def _read_replies(peer: _Peer, count: int) -> None:
+    for _ in range(count):
+        await read_frame(peer.reader)
+
+
+async def _wait_until_no_message_arrives(channel: IncomingChannel) -> None:
+    last_message_at = 0.0
+    while last_message_at != channel.last_message_at:
+        last_message_at = channel.last_message_at
+        await asyncio.sleep(1)
