--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -308,7 +308,8 @@
             while True:
                 self._handle_message(
                     await read_frame(
-                        self._reader, self._connection.count_received
+                        self._reader,
+                        on_received=self._connection.count_received,
                     )
                 )
         except (OSError, EOFError, ProtocolError):
--- a/lycheespar/protocol/framing.py
+++ b/lycheespar/protocol/framing.py
@@ -37,6 +37,8 @@
 
 async def read_frame(
     reader: asyncio.StreamReader,
+    max_bytes: int = MAX_FRAME_BYTES,
+    begin: Callable[[int], None] | None = None,
     on_received: Callable[[int], None] | None = None,
 ) -> Message:
     """Read one message.
@@ -45,13 +47,17 @@
     ----------
     reader : asyncio.StreamReader
         Reading end of the connection.
+    max_bytes : int
+        Largest payload that is accepted.
+    begin : Callable[[int], None] | None
+        Called with the size of the payload once the header has arrived.
     on_received : Callable[[int], None] | None
         Called with the size of each part of the message that has arrived.
 
     Raises
     ------
     FrameTooLargeError
-        The frame's header declares more than `MAX_FRAME_BYTES`.
+        The frame's header declares more than `max_bytes`.
     FrameVersionError
         The version is unknown, or the payload is not a known message.
     asyncio.IncompleteReadError
@@ -61,8 +67,10 @@
     length, version = _HEADER.unpack(header)
     if version != PROTOCOL_VERSION:
         raise FrameVersionError(f'unknown protocol version {version}')
-    if length > MAX_FRAME_BYTES:
+    if length > max_bytes:
         raise FrameTooLargeError(f'received frame has {length} bytes')
+    if begin is not None:
+        begin(length)
     if on_received is None:
         payload = await reader.readexactly(length)
     else:
@@ -70,7 +78,7 @@
         payload = await _read_parts(reader, length, on_received)
     try:
         return _decoder.decode(payload)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise FrameVersionError(str(error)) from error
 
 
