Crowds: tests with clients outside the limits, most of them known red

In a trial, clients that keep no limits ended a process: it ran out of memory. They sent heads over the limit or without end, and empty lines without end before a request.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 JOBS ?= 4
 STAMP = $(VENV)/.installed
 
-.PHONY: install test lint format demo emulate bench soak binary docs
+.PHONY: install test crowd lint format demo emulate bench soak binary docs
 
 install: $(STAMP)
 
@@ -18,6 +18,9 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest -n $(JOBS)
 
+crowd: $(STAMP)
+	$(BIN)/python -m pytest -m crowd -p no:xdist
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/lycheespar/tests/crowds/__init__.py
@@ -0,0 +1,1 @@
+"""Tests against crowds of clients that exceed all limits."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -116,6 +116,12 @@
         assert self._child is not None
         self._child.send_signal(number)
 
+    @property
+    def pid(self) -> int:
+        """Process id of the program; valid after `start`."""
+        assert self._child is not None
+        return self._child.pid
+
     @property
     def exit_code(self) -> int | None:
         """Exit code of the program; None while it runs."""
@@ -191,6 +197,8 @@
         State that heartbeats report.
     notices : dict[str, str]
         Further headers of its answers to requests.
+    answer_bytes : int
+        Least size of its answers to requests.
     """
 
     def __init__(self, machine: Machine, identity: str) -> None:
@@ -208,6 +216,7 @@
         self.cold_ms = 0
         self.state = 'ready'
         self.notices: dict[str, str] = {}
+        self.answer_bytes = 0
         self._sequence = 0
         self._running = 0
         self._started_at_ms = int(time.time() * 1000)
@@ -292,7 +301,8 @@
         }
         response_text = f'{request.method} {request.path} {len(body)}'
         return web.Response(
-            text=response_text, headers=response_headers | load | self.notices
+            text=response_text.ljust(self.answer_bytes),
+            headers=response_headers | load | self.notices,
         )
 
     def _work_s(self, path: str) -> float:
