Keep no answered request in memory for the event of a cut connection

The report of each connection held the request that was answered last, and with it the answer of a call that was started early, until the next one came. Its id and its body's reader are enough.

--- a/lycheespar/ingress/cut_report.py
+++ b/lycheespar/ingress/cut_report.py
@@ -4,6 +4,8 @@
 
 import socket
 
+from aiohttp.streams import StreamReader
+
 from lycheespar.ingress.request import CallerRequest
 from lycheespar.protocol.sockets import unread_bytes, unsent_bytes
 from lycheespar.telemetry.connection_events import ConnectionCut
@@ -26,7 +28,8 @@
     """
 
     __slots__ = (
-        '_answered',
+        '_answered_body',
+        '_answered_id',
         '_reason',
         'aborted',
         'answered_at',
@@ -40,7 +43,8 @@
         self.caller_left = False
         self.aborted: tuple[str, ...] = ()
         self._reason = ''
-        self._answered: CallerRequest | None = None
+        self._answered_id = ''
+        self._answered_body: StreamReader | None = None
         self.answered_at = float('-inf')
 
     @property
@@ -54,7 +58,9 @@
 
     def answered(self, request: CallerRequest | None, now: float) -> None:
         """Note that a request was answered, at a time in seconds."""
-        self._answered = request
+        # An idle connection must not keep its last request in memory.
+        self._answered_id = '' if request is None else request.request_id
+        self._answered_body = None if request is None else request.content
         self.answered_at = now
 
     def write(
@@ -73,8 +79,8 @@
         """
         if self.caller_left or self.socket is None:
             return
-        answered = self._answered
-        complete = answered is None or answered.content.is_eof()
+        body = self._answered_body
+        complete = body is None or body.is_eof()
         unread = unread_bytes(self.socket)
         unanswered = (*self.aborted, *unanswered)
         if complete and not unread and not unanswered:
@@ -83,9 +89,9 @@
         events.write(
             ConnectionCut(
                 self._reason,
-                '' if answered is None else answered.request_id,
+                self._answered_id,
                 unanswered,
-                -1 if answered is None else round(since_answer_s, 3),
+                -1 if body is None else round(since_answer_s, 3),
                 complete,
                 unread,
                 unsent_bytes(self.socket),
