--- a/lycheespar/ingress/request.py
+++ b/lycheespar/ingress/request.py
@@ -63,16 +63,14 @@
             or bool(self.content.total_bytes)
         )
 
-    def leaves_connection_usable(self, limit: int) -> bool:
-        """Whether the end of the body can be found by reading it.
+    def has_readable_rest(self, limit: int) -> bool:
+        """Return whether the end of the body can be found by reading it.
 
         Parameters
         ----------
         limit : int
             Largest length in bytes of a body.
         """
-        if self.content.is_eof():
-            return True
         body = self.caller_body
         failed = body is not None and body.error is not None
         too_long = (self.content_length or 0) > limit
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -182,8 +182,7 @@
     async def _handle(self, request: CallerRequest) -> web.StreamResponse:
         response = await self._answer(request)
         if not response.prepared and (
-            self._ends_connection(request)
-            or not request.leaves_connection_usable(self.max_body_bytes)
+            self._ends_connection(request) or self._rest_is_unreadable(request)
         ):
             response.force_close()
         return response
@@ -212,7 +211,7 @@
                 answer,
                 close_connection=(
                     self._ends_connection(request, streamed=True)
-                    or not request.leaves_connection_usable(self.max_body_bytes)
+                    or self._rest_is_unreadable(request)
                 ),
             )
         except RequestError as error:
@@ -239,6 +238,13 @@
             and connection.end_with_current_answer()
         )
 
+    def _rest_is_unreadable(self, request: CallerRequest) -> bool:
+        """Return whether the end of the body can't be found by reading it."""
+        return not (
+            request.content.is_eof()
+            or request.has_readable_rest(self.max_body_bytes)
+        )
+
     def _record_duration(self, request: CallerRequest) -> None:
         """Record how long a request took that a target may have run."""
         now = asyncio.get_running_loop().time()
