Protocol: a stopping node sends its last answers to other nodes whole

Callers of other nodes got 502 for a request whose target had answered, when the node beside the target ended: 'the node has ended'.

Cause: ChannelServer.stop closed its channels, for at most one second. What the other node still sends then, such as a query for the load, meets a closed socket, and the reset discards what the kernel has not sent yet; on a link of 25,000 bytes/s that is most of an answer of 60,000 bytes.

The node ends its own direction only now and reads on, without handling what arrives, until the other node closes. It waits while bytes reach the other host.

--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -22,7 +22,8 @@
 from lycheespar.streams import close_stream
 from lycheespar.telemetry.unhandled import report_unhandled
 
-# Time in seconds to wait for the transport to close.
+# Time in seconds to wait for the transport to close. It begins again while
+# bytes still reach the other host.
 CLOSE_TIMEOUT_S: Final = 1
 
 log = logger.bind(part='protocol')
@@ -43,6 +44,7 @@
     """
 
     __slots__ = (
+        '_finished',
         '_receivers',
         '_windows',
         '_writer',
@@ -56,13 +58,14 @@
         self._receivers: dict[bytes, BodyReceiver] = {}
         self._windows: dict[bytes, SendWindow] = {}
         self._written_bytes = 0
+        self._finished = False
         self.received_bytes = 0
         tune_socket(writer.get_extra_info('socket'))
 
     @property
     def closing(self) -> bool:
-        """Whether the connection is closed or closing."""
-        return self._writer.is_closing()
+        """Whether nothing more is sent on the connection."""
+        return self._finished or self._writer.is_closing()
 
     @property
     def sending_bodies(self) -> bool:
@@ -77,16 +80,17 @@
     @property
     def acknowledged_bytes(self) -> int:
         """Written bytes that have reached the other host."""
-        if self.closing:
+        if self._writer.is_closing():
             return self._written_bytes
         sock = self._writer.get_extra_info('socket')
         buffered = self._writer.transport.get_write_buffer_size()
         outstanding = buffered + unacknowledged_bytes(sock.fileno())
-        return self._written_bytes - outstanding
+        # The end of the sending direction counts as one byte in the kernel.
+        return self._written_bytes - max(0, outstanding - self._finished)
 
     def send(self, message: Message) -> None:
         """Buffer a message for sending, unless the connection is closing."""
-        if not self._writer.is_closing():
+        if not self.closing:
             frame = encode_frame(message)
             self._written_bytes += len(frame)
             self._writer.write(frame)
@@ -99,6 +103,16 @@
         """Wait until the write buffer has room."""
         await self._writer.drain()
 
+    def finish(self) -> None:
+        """End the sending direction once its buffer is sent.
+
+        If the connection were closed, what the other node still sends would
+        reset it, with the bytes that the kernel has not sent yet.
+        """
+        if not self.closing:
+            self._finished = True
+            self._writer.write_eof()
+
     def close(self) -> None:
         """Close the connection once its buffer is sent."""
         self._writer.close()
@@ -108,12 +122,21 @@
         self._writer.transport.abort()
 
     async def wait_closed(self) -> None:
-        """Wait until the connection is closed, at most `CLOSE_TIMEOUT_S`."""
-        try:
-            async with asyncio.timeout(CLOSE_TIMEOUT_S):
-                await self._writer.wait_closed()
-        except OSError:
-            return
+        """Wait until the connection is closed.
+
+        It is closed by this node if no byte reaches the other host for
+        `CLOSE_TIMEOUT_S`.
+        """
+        closing = asyncio.ensure_future(self._writer.wait_closed())
+        acknowledged = -1
+        while acknowledged < self.acknowledged_bytes:
+            acknowledged = self.acknowledged_bytes
+            await asyncio.wait([closing], timeout=CLOSE_TIMEOUT_S)
+            if closing.done():
+                break
+        self._writer.close()
+        closing.cancel()
+        await asyncio.gather(closing, return_exceptions=True)
 
     def open_receiver(
         self,
--- a/lycheespar/protocol/incoming_channel.py
+++ b/lycheespar/protocol/incoming_channel.py
@@ -94,9 +94,9 @@
         self._loop = asyncio.get_running_loop()
         self.last_message_at = self._loop.time()
 
-    def close(self) -> None:
-        """Close the channel once its buffer is sent."""
-        self._connection.close()
+    def finish(self) -> None:
+        """Send what is buffered, then close once the other node has."""
+        self._connection.finish()
 
     def abort(self) -> None:
         """Close the channel at once and discard its buffer."""
@@ -113,7 +113,8 @@
             while True:
                 message = await read_frame(reader)
                 self.last_message_at = self._loop.time()
-                self._handle_message(message)
+                if not self._connection.closing:
+                    self._handle_message(message)
         except (OSError, EOFError, ProtocolError):
             return
         except Exception as error:  # reported with the calls that it ends
--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -94,7 +94,7 @@
         )
 
     async def stop(self) -> None:
-        """Close the port, then all channels once their buffers are sent.
+        """Close the port, then all channels once their bytes have arrived.
 
         Calls that still run are cancelled.
         """
@@ -104,7 +104,7 @@
             self._sweep_task.cancel()
         channels = tuple(self._channels)
         for channel in channels:
-            channel.close()
+            channel.finish()
         await asyncio.gather(*(closing.wait_closed() for closing in channels))
         await self._executions.close()
 
--- a/lycheespar/tests/protocol/slow_links_tests.py
+++ b/lycheespar/tests/protocol/slow_links_tests.py
@@ -10,11 +10,14 @@
 
 from lycheespar.call import Answer, Call
 from lycheespar.protocol.body import CHUNK_BYTES
+from lycheespar.protocol.connection import FrameConnection
 from lycheespar.protocol.remote_node import RemoteNode
 from lycheespar.tests.protocol.nodes import CLIENT, LOAD, Node, new_call
 from standins import slow_links_host
+from standins.cluster import wait_until
 
 BYTES_PER_S = 25_000
+ANSWER_BYTES = 60_000
 
 
 async def _chunks(count: int) -> AsyncIterator[bytes]:
@@ -30,22 +33,32 @@
     return Answer(200, (), str(length).encode(), LOAD)
 
 
+def _limit_rate(connection: FrameConnection) -> None:
+    sock = connection._writer.get_extra_info('socket')
+    sock.setsockopt(
+        socket.SOL_SOCKET, slow_links_host.SO_MAX_PACING_RATE, BYTES_PER_S
+    )
+
+
 @asynccontextmanager
 async def _slow_channel(monkeypatch) -> AsyncIterator[tuple[Node, RemoteNode]]:
-    """Run a node to which a channel sends slowly."""
+    """Run a node with a channel that is slow in both directions."""
     node = Node()
     with monkeypatch.context() as patches:
         patches.setattr(asyncio, 'start_server', slow_links_host.start_server)
         await node.server.start('127.0.0.1', 0)
     remote = RemoteNode(*node.server.address, CLIENT, '127.0.0.1')
     try:
-        channel = await remote._get_channel()
+        with monkeypatch.context() as patches:
+            patches.setattr(
+                asyncio, 'open_connection', slow_links_host.open_connection
+            )
+            channel = await remote._get_channel()
         for _ in repeat(None, slow_links_host.UNPACED_SEGMENTS):
             await channel.query_load()
-        sock = channel._connection._writer.get_extra_info('socket')
-        sock.setsockopt(
-            socket.SOL_SOCKET, slow_links_host.SO_MAX_PACING_RATE, BYTES_PER_S
-        )
+        (incoming,) = node.server._channels
+        _limit_rate(channel._connection)
+        _limit_rate(incoming._connection)
         yield node, remote
     finally:
         await remote.close()
@@ -69,3 +82,18 @@
         await asyncio.gather(*map(remote.execute, calls))
         assert await remote._get_channel() is channel
         assert node.target.executions['/book'] == len(calls)
+
+
+async def test_a_node_that_stops_sends_its_last_answer_whole(monkeypatch):
+    """Bytes in the buffers of a process are lost once it has ended."""
+    async with _slow_channel(monkeypatch) as (node, remote):
+        node.target.body = bytes(ANSWER_BYTES)
+        channel = await remote._get_channel()
+        task = asyncio.create_task(remote.execute(new_call()))
+        (incoming,) = node.server._channels
+        connection = incoming._connection
+        await wait_until(lambda: connection.written_bytes > ANSWER_BYTES)
+        asyncio.get_running_loop().call_later(0.2, channel.query_load)
+        await node.server.stop()
+        incoming.abort()
+        assert len((await task).body) == ANSWER_BYTES
