Protocol: a body counts as being sent until the other host has it

A channel with a streamed body may be silent for 3 s in place of 1 s, since the body can't be sent again. That held only while the body was being written: one in the buffers of this host was lost to a stall of one second. The kernel is asked now whether the last bytes have arrived.

The test failed before with 'channel lost' (a peer that reads nothing for 2 s).

--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -44,6 +44,7 @@
     """
 
     __slots__ = (
+        '_bodies_end',
         '_finished',
         '_receivers',
         '_windows',
@@ -58,6 +59,7 @@
         self._receivers: dict[bytes, BodyReceiver] = {}
         self._windows: dict[bytes, SendWindow] = {}
         self._written_bytes = 0
+        self._bodies_end = 0
         self._finished = False
         self.received_bytes = 0
         tune_socket(writer.get_extra_info('socket'))
@@ -69,8 +71,10 @@
 
     @property
     def sending_bodies(self) -> bool:
-        """Whether a streamed body is being sent."""
-        return bool(self._windows)
+        """Whether a streamed body has not reached the other host wholly."""
+        if self._bodies_end and self.acknowledged_bytes >= self._bodies_end:
+            self._bodies_end = 0
+        return bool(self._windows or self._bodies_end)
 
     @property
     def written_bytes(self) -> int:
@@ -203,6 +207,7 @@
             log.debug('A body was not sent to its end: {!r}.', error)
         else:
             self.send(BodyEnd(call_id, length, ''))
+            self._bodies_end = self._written_bytes
             return not self.closing
         finally:
             self._windows.pop(call_id, None)
--- a/lycheespar/tests/protocol/slow_links_tests.py
+++ b/lycheespar/tests/protocol/slow_links_tests.py
@@ -18,6 +18,7 @@
 
 BYTES_PER_S = 25_000
 ANSWER_BYTES = 60_000
+STALL_S = 2
 
 
 async def _chunks(count: int) -> AsyncIterator[bytes]:
@@ -97,3 +98,18 @@
         await node.server.stop()
         incoming.abort()
         assert len((await task).body) == ANSWER_BYTES
+
+
+async def test_a_stall_does_not_cut_a_body_that_is_on_its_way(monkeypatch):
+    """Only a body that is still written was given time to move on."""
+    async with _slow_channel(monkeypatch) as (node, remote):
+        monkeypatch.setattr(node.target, 'execute', _read_all)
+        channel = await remote._get_channel()
+        (incoming,) = node.server._channels
+        transport = incoming._connection._writer.transport
+        task = asyncio.create_task(remote.execute(new_call(body=_chunks(1))))
+        connection = channel._connection
+        await wait_until(lambda: connection.written_bytes > CHUNK_BYTES)
+        transport.pause_reading()
+        asyncio.get_running_loop().call_later(STALL_S, transport.resume_reading)
+        assert (await task).body == str(CHUNK_BYTES).encode()
