--- a/lycheespar/protocol/incoming_channel.py
+++ b/lycheespar/protocol/incoming_channel.py
@@ -115,9 +115,9 @@
         """Bytes of replies that the peer has not taken."""
         return self._connection.unsent_bytes
 
-    def close(self) -> None:
-        """Close the channel once its buffer is sent."""
-        self._connection.close()
+    def finish(self) -> None:
+        """Send what is buffered, then close once the other node has."""
+        self._connection.finish()
 
     def abort(self) -> None:
         """Close the channel at once and discard its buffer."""
@@ -209,7 +209,8 @@
             message = await read_frame(reader, begin=begin)
             self._limits.end_frame(self)
             self.last_message_at = self._loop.time()
-            self._handle_message(message)
+            if not self._connection.closing:
+                self._handle_message(message)
             if self._limits.must_pause(self):
                 await self._connection.drain()
             if count % MESSAGES_PER_TURN == 0:
