Membership: control hosts named in gossip have a bound

Seen: 300 datagrams with 20 records of control hosts each, to one node and one control host, ended all changes: each of the three control hosts had 1,054 descriptors, 83 to 88 failures of tasks and 88 to 94 MB, and a change got no reply in 15 s, during it and afterwards. The nodes had 1,042 descriptors.

Cause: a node opens a link to each control host in its table, and a control host to each that was named to it. Records were taken without a bound until ZeroMQ had no sockets left, which also ended the links between real hosts.

Now the table keeps records of at most 64 control hosts, and a control host remembers at most 64 hosts that others named to it; configured hosts and voters always count. A group has less than ten hosts. A record that is not kept is reported as member_rejected, at a limited rate.

--- a/lycheespar/control/agreement/roster.py
+++ b/lycheespar/control/agreement/roster.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import Final
 
 from lycheespar.control.agreement.replica import Replica
 
+# Hosts that are remembered because others named them.
+MAX_DISCOVERED: Final = 64
+
 
 class Roster:
     """The other control hosts: configured ones, voters and discovered ones.
@@ -44,7 +48,9 @@
 
     def add_hosts(self, hosts: Iterable[str]) -> None:
         """Add the names of discovered hosts."""
-        self._discovered |= frozenset(hosts) - {self._replica.name, ''}
+        for host in sorted(frozenset(hosts) - {self._replica.name, ''}):
+            if len(self._discovered) < MAX_DISCOVERED:
+                self._discovered.add(host)
 
     def forget(self, host: str) -> None:
         """Remove a discovered host."""
--- a/lycheespar/membership/view.py
+++ b/lycheespar/membership/view.py
@@ -12,12 +12,16 @@
 from reactivex.subject import Subject
 
 from lycheespar.membership.records import Liveness, MemberRecord, Verdict
+from lycheespar.telemetry.error_events import MemberRejected
+from lycheespar.telemetry.event_log import events
 
 BUCKETS: Final = 128
 CHECKSUM_BYTES: Final = 4
 # Maximum number of removed members whose last records are kept, so that
 # older records of them are rejected.
 MAX_TOMBSTONES: Final = 4096
+# Maximum number of records of control hosts.
+MAX_CONTROL_HOSTS: Final = 64
 
 
 class MembershipView:
@@ -101,7 +105,8 @@
     def merge(self, record: MemberRecord) -> bool:
         """Store a record if it is newer; return whether it was.
 
-        The record of a dead node that is not in the table is not stored.
+        The record of a dead node that is not in the table is not stored, nor
+        is that of a new control host if there are too many.
         """
         node = record.node
         known = self._records.get(node)
@@ -109,6 +114,9 @@
             return False
         if not record.supersedes(known or self._tombstones.get(node)):
             return False
+        if not self._has_room(record, known):
+            events.write(MemberRejected(len(self._records)))
+            return False
         self._tombstones.pop(node, None)
         if known is not None:
             self._discard(known)
@@ -164,6 +172,14 @@
             != checksums[start : start + CHECKSUM_BYTES]
         ]
 
+    def _has_room(
+        self, record: MemberRecord, known: MemberRecord | None
+    ) -> bool:
+        """Return whether a record may be stored in place of a known one."""
+        if not record.control_port or (known and known.control_port):
+            return True
+        return len(self._records) - self._node_count < MAX_CONTROL_HOSTS
+
     def _insert(self, record: MemberRecord) -> None:
         self._records[record.node] = record
         self._node_count += not record.control_port
--- a/lycheespar/telemetry/error_events.py
+++ b/lycheespar/telemetry/error_events.py
@@ -51,3 +51,18 @@
     rate_limited: ClassVar[bool] = True
 
     reason: str
+
+
+class MemberRejected(Event, frozen=True, tag='member_rejected'):
+    """A new member was not recorded, as there are too many of its kind.
+
+    Attributes
+    ----------
+    members : int
+        Number of members that are recorded.
+    """
+
+    part: ClassVar[str] = 'membership'
+    rate_limited: ClassVar[bool] = True
+
+    members: int
