Membership: datagrams, names and the table of members have bounds

Seen: 3,335 datagrams with a record each whose name has 60,000 characters, to one node and one control host, took the node to 243 MB and the control host to 243 MB, for as long as they ran; they have 200 and 296 MB. With 4,000 datagrams of 400 records, one ordinary request came back in 4 s, with 503.

Cause: UDP payloads of any size were decoded, names had no longest length, and a record of any new name was kept.

Now payloads above 8 KB are dropped (proper ones have 1,300 bytes, and the verdicts of one bucket 2 KB in a full table), names above 255 characters make a datagram invalid, as elsewhere, and the table keeps 4,096 members; the largest fleet has 1,500 nodes, and members that died leave after 60 s. News of members in a full table are still taken.

--- a/lycheespar/membership/messages.py
+++ b/lycheespar/membership/messages.py
@@ -18,6 +18,8 @@
 
 # Largest UDP payload that common links carry without fragmentation.
 MAX_DATAGRAM_BYTES: Final = 1300
+# Largest UDP payload that is decoded.
+MAX_RECEIVED_BYTES: Final = 8 * 1024
 # Largest size of the records of a datagram once they are decompressed.
 MAX_UNPACKED_BYTES: Final = 64 * 1024
 COMPRESSION_LEVEL: Final = 1
@@ -222,7 +224,9 @@
 
 
 def decode(payload: bytes) -> Datagram | None:
-    """Decode a datagram; return `None` if it is malformed."""
+    """Decode a datagram; return `None` if it is malformed or too large."""
+    if len(payload) > MAX_RECEIVED_BYTES:
+        return None
     try:
         return _decoder.decode(payload)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
--- a/lycheespar/membership/records.py
+++ b/lycheespar/membership/records.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import msgspec
 
+from lycheespar.decoding import MAX_NAME_LENGTH, Name
+
+ServiceName = Annotated[str, msgspec.Meta(max_length=2 * MAX_NAME_LENGTH + 1)]
 Rank = tuple[int, int, int, int]
 
 
@@ -42,7 +46,7 @@
         State of the member.
     """
 
-    node: str
+    node: Name
     incarnation: int
     version: int
     refutation: int
@@ -101,21 +105,21 @@
         Version of the target's software; empty if it announces none.
     """
 
-    node: str
+    node: Name
     incarnation: int
     version: int
-    host: str
+    host: Name
     inner_port: int
     gossip_port: int
-    data_centre: str
-    service: str = ''
-    target: str = ''
+    data_centre: Name
+    service: ServiceName = ''
+    target: Name = ''
     phase: Phase = Phase.absent
     slots: int = 0
     liveness: Liveness = Liveness.alive
     refutation: int = 0
     control_port: int = 0
-    software_version: str = ''
+    software_version: Name = ''
 
     @property
     def accepts_calls(self) -> bool:
--- a/lycheespar/membership/view.py
+++ b/lycheespar/membership/view.py
@@ -20,7 +20,8 @@
 # Maximum number of removed members whose last records are kept, so that
 # older records of them are rejected.
 MAX_TOMBSTONES: Final = 4096
-# Maximum number of records of control hosts.
+# Maximum number of records, and of those of control hosts among them.
+MAX_MEMBERS: Final = 4096
 MAX_CONTROL_HOSTS: Final = 64
 
 
@@ -106,7 +107,7 @@
         """Store a record if it is newer; return whether it was.
 
         The record of a dead node that is not in the table is not stored, nor
-        is that of a new control host if there are too many.
+        is that of a new member if the table is full.
         """
         node = record.node
         known = self._records.get(node)
@@ -176,6 +177,8 @@
         self, record: MemberRecord, known: MemberRecord | None
     ) -> bool:
         """Return whether a record may be stored in place of a known one."""
+        if known is None and len(self._records) >= MAX_MEMBERS:
+            return False
         if not record.control_port or (known and known.control_port):
             return True
         return len(self._records) - self._node_count < MAX_CONTROL_HOSTS
