Platform: reports of ever new targets don't stay in memory

Seen: 30 connections, 202 MB of deregistrations with names of 4,000 characters, took a node from 50 to 149 MB, which it kept. Nodes have 200 MB.

Cause: the last report of each target was kept for ever, so that late heartbeats have no effect, and deregistrations did not check the name.

Now the last 256 targets are remembered, the one heard of least recently goes first, and a name must have 1 to 255 characters, as in heartbeats. A node has one target beside it; its reports are renewed with each heartbeat.

The new tests fail without the change.

--- a/lycheespar/platform/heartbeats.py
+++ b/lycheespar/platform/heartbeats.py
@@ -30,6 +30,9 @@
 # Connections to the target beyond its slots, for probes and for connections
 # that are being replaced.
 SPARE_CONNECTIONS: Final = 8
+# Targets whose last report is remembered; the one reported least recently is
+# forgotten first.
+MAX_LAST_REPORTS: Final = 256
 
 log = logger.bind(part='platform')
 
@@ -202,8 +205,7 @@
             The heartbeat is invalid, or its service does not run here.
         """
         info, status = heartbeat.info, heartbeat.status
-        if not 0 < len(target) <= MAX_NAME_LENGTH:
-            raise ValueError('the target has no name, or a very long one')
+        _check_name(target)
         if self._own_service and info.service != self._own_service:
             raise ValueError(
                 f"service '{info.service}' does not run on this host"
@@ -245,9 +247,16 @@
         ):
             return False
         self._latest_start_ms = started_at_ms
-        self._last_reports[target] = _LastReport(started_at_ms, sequence)
+        self._remember(target, _LastReport(started_at_ms, sequence))
         return True
 
+    def _remember(self, target: str, report: _LastReport) -> None:
+        """Store the newest report of a target."""
+        self._last_reports.pop(target, None)
+        if len(self._last_reports) >= MAX_LAST_REPORTS:
+            self._last_reports.pop(next(iter(self._last_reports)))
+        self._last_reports[target] = report
+
     def _handle_deregistration(self, target: str, body: bytes) -> web.Response:
         """Mark a target as leaving, so that it gets no new work.
 
@@ -255,13 +264,18 @@
         may have just started: a delayed heartbeat must not announce the
         target again.
         """
+        try:
+            _check_name(target)
+        except ValueError as error:
+            return rpc_response(400, str(error))
         last_report = self._last_reports.get(target)
         started_at_ms = max(
             _deregistered_start_ms(body),
             last_report.started_at_ms if last_report else 0,
         )
-        self._last_reports[target] = _LastReport(
-            started_at_ms or _now_ms(), 0, deregistered=True
+        self._remember(
+            target,
+            _LastReport(started_at_ms or _now_ms(), 0, deregistered=True),
         )
         current = self._target.current
         if current is not None and current.target == target:
@@ -270,6 +284,12 @@
         return rpc_response(200)
 
 
+def _check_name(target: str) -> None:
+    """Raise ValueError for a target without a name or with a very long one."""
+    if not 0 < len(target) <= MAX_NAME_LENGTH:
+        raise ValueError('the target has no name, or a very long one')
+
+
 def _deregistered_start_ms(body: bytes) -> int:
     """Return the start time in a deregistration, 0 if it has none."""
     try:
--- a/lycheespar/tests/platform/heartbeats_tests.py
+++ b/lycheespar/tests/platform/heartbeats_tests.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lycheespar.membership.records import Phase
-from lycheespar.platform.heartbeats import HeartbeatServer
+from lycheespar.platform.heartbeats import MAX_LAST_REPORTS, HeartbeatServer
 from lycheespar.settings.options import Address
 from lycheespar.targets.announcement import LocalTarget
 
@@ -154,3 +154,22 @@
     harness.target.mark_draining()
     await harness.send_heartbeat(2)
     assert harness.state is Phase.draining
+
+
+async def test_reports_of_ever_new_targets_are_not_all_remembered(harness):
+    for number in range(MAX_LAST_REPORTS + 10):
+        await harness.call('instances.deregister', f'i-{number}')
+        await harness.send_heartbeat(1, target='i-own')
+    assert len(harness.server._last_reports) == MAX_LAST_REPORTS
+    assert harness.state is Phase.ready
+    await harness.call('instances.deregister', 'i-own')
+    assert await harness.send_heartbeat(2, target='i-own') == 200
+    assert harness.state is Phase.left
+
+
+@pytest.mark.parametrize('target', ['', 'x' * 256])
+async def test_a_target_without_a_usable_name_cannot_be_deregistered(
+    harness, target
+):
+    assert await harness.call('instances.deregister', target) == 400
+    assert not harness.server._last_reports
