--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -41,6 +41,8 @@
     ----------
     received_bytes : int
         Bytes that were received, as counted by the reader.
+    written_bytes : int
+        Bytes that were written, sent or not.
     """
 
     __slots__ = (
@@ -49,8 +51,8 @@
         '_receivers',
         '_windows',
         '_writer',
-        '_written_bytes',
         'received_bytes',
+        'written_bytes',
     )
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
@@ -58,7 +60,7 @@
         self._writer = writer
         self._receivers: dict[bytes, BodyReceiver] = {}
         self._windows: dict[bytes, SendWindow] = {}
-        self._written_bytes = 0
+        self.written_bytes = 0
         self._bodies_end = 0
         self._finished = False
         self.received_bytes = 0
@@ -81,27 +83,22 @@
             self._bodies_end = 0
         return bool(self._windows or self._bodies_end)
 
-    @property
-    def written_bytes(self) -> int:
-        """Bytes that were written, sent or not."""
-        return self._written_bytes
-
     @property
     def acknowledged_bytes(self) -> int:
         """Written bytes that have reached the other host."""
         if self._writer.is_closing():
-            return self._written_bytes
+            return self.written_bytes
         sock = self._writer.get_extra_info('socket')
         buffered = self._writer.transport.get_write_buffer_size()
         outstanding = buffered + unacknowledged_bytes(sock.fileno())
         # The end of the sending direction counts as one byte in the kernel.
-        return self._written_bytes - max(0, outstanding - self._finished)
+        return self.written_bytes - max(0, outstanding - self._finished)
 
     def send(self, message: Message) -> None:
         """Buffer a message for sending, unless the connection is closing."""
         if not self.closing:
             frame = encode_frame(message)
-            self._written_bytes += len(frame)
+            self.written_bytes += len(frame)
             self._writer.write(frame)
 
     def count_received(self, size: int) -> None:
@@ -212,7 +209,7 @@
             log.debug('A body was not sent to its end: {!r}.', error)
         else:
             self.send(BodyEnd(call_id, length, ''))
-            self._bodies_end = self._written_bytes
+            self._bodies_end = self.written_bytes
             return not self.closing
         finally:
             self._windows.pop(call_id, None)
