--- a/demo/soak/targets.py
+++ b/demo/soak/targets.py
@@ -107,7 +107,9 @@
         self._running += 1
         try:
             if request.query.get('early') is None:
-                await request.read()
+                # `read` refuses bodies over 1 MB.
+                while not request.content.at_eof():
+                    await request.content.readany()
             run.failed = await self._work(request, loop.time())
             response = await self._respond(
                 request, attempt, headers, run.failed
