Close the connections of a stop that reached its limit in time

A node waited up to 1 s, and 1 s more for calls at work, once its stop had reached its time limit. The limit is 0.92 of the grace period of the platform, so that with 6 s the program was killed before. It waits 0.2 s now, and 0.2 s more for calls at work.

--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -29,8 +29,9 @@
 
 KEEPALIVE_TIMEOUT_S: Final = 75
 POLL_INTERVAL_S: Final = 0.02
-# Time in seconds for writing the last answers before connections are closed.
-SHUTDOWN_TIMEOUT_S: Final = 1
+# Time in seconds for the requests and bodies that are left at the time limit of
+# a stop. A program that outlasts its grace period is killed.
+SHUTDOWN_TIMEOUT_S: Final = 0.2
 
 
 class IngressServer:
