Bound the bodies that operators, targets and callers of both APIs send

Seen at a control host with 30 connections: bodies of calls in chunks without end, 312 MB; bodies of 31 MB that stop before their end, 320 MB; one body of 30 MB with ten million empty lists, 989 MB while it was decoded. Control hosts have 296 MB.

Cause: a call could have 32 MB, decoded to 30 times as much, and nothing bounded the bodies that are received at the same time. A body beyond the limit was cut and decoded. Heartbeats, announcements and changes had 1 MB each by the library's default, and no common bound either.

Now bodies are received by a BodyReader: above the limit the answer is 413; above a bound for all unfinished bodies, the connection whose large body was begun first is closed. An operator's call may have 4 MB, some ten thousand routes, and all of them 16 MB; the configuration of the largest fleet has 0.05 MB. Heartbeats and announcements keep their limit of 1 MB and share 4 MB.

--- a/lycheespar/control/api/api.py
+++ b/lycheespar/control/api/api.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 from aiohttp import web
 from loguru import logger
 
+from lycheespar.bodies import BodyReader
 from lycheespar.configuration.changes import Command
 from lycheespar.control.api.status import StatusReport, status_of
 from lycheespar.control.host import ControlHost
 from lycheespar.decoding import decode
 from lycheespar.errors import (
+    BodyTooLargeError,
     ChangeConflictError,
     ChangeInvalidError,
     ControlError,
@@ -21,6 +23,10 @@
 )
 from lycheespar.settings.options import Address
 
+# Largest body of a change, and all bodies that are being received, in bytes.
+MAX_BODY_BYTES: Final = 1024 * 1024
+SHARED_BODY_BYTES: Final = 16 * 1024 * 1024
+
 log = logger.bind(part='control')
 
 _command_decoder = msgspec.json.Decoder(Command)
@@ -54,6 +60,7 @@
         """Create a stopped server; `start` opens the port."""
         self._host = host
         self._group = host.group
+        self._bodies = BodyReader(MAX_BODY_BYTES, SHARED_BODY_BYTES)
         app = web.Application(middlewares=(_error_middleware,))
         app.add_routes(
             (
@@ -92,7 +99,7 @@
         return _json_response(report)
 
     async def _post_change(self, request: web.Request) -> web.Response:
-        command = decode_command(await request.read())
+        command = decode_command(await self._bodies.read(request))
         revision = await self._group.submit(command)
         log.info(
             "Operator '{}' created revision {}.",
@@ -126,7 +133,7 @@
 ) -> web.StreamResponse:
     try:
         return await handler(request)
-    except ControlError as error:
+    except (ControlError, BodyTooLargeError) as error:
         return _problem_response(error)
 
 
@@ -137,7 +144,9 @@
     )
 
 
-def _problem_response(error: ControlError) -> web.Response:
+def _problem_response(
+    error: ControlError | BodyTooLargeError,
+) -> web.Response:
     body: dict[str, Any] = {
         'type': f'urn:lycheespar:{error.code}',
         'status': error.status,
--- a/lycheespar/platform/heartbeats.py
+++ b/lycheespar/platform/heartbeats.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from loguru import logger
 
+from lycheespar.bodies import BodyReader
 from lycheespar.decoding import (
     MAX_NAME_LENGTH,
     Integer,
@@ -16,6 +17,7 @@
     Slots,
     decode,
 )
+from lycheespar.errors import BodyTooLargeError
 from lycheespar.platform.formats import MS_PER_S, parse_s
 from lycheespar.platform.rpc import is_rpc_call, rpc_response
 from lycheespar.settings.options import Address
@@ -33,6 +35,9 @@
 # Targets whose last report is remembered; the one reported least recently is
 # forgotten first.
 MAX_LAST_REPORTS: Final = 256
+# Largest body of a heartbeat, and all bodies that are being received, in bytes.
+MAX_BODY_BYTES: Final = 1024 * 1024
+SHARED_BODY_BYTES: Final = 4 * 1024 * 1024
 
 log = logger.bind(part='platform')
 
@@ -150,6 +155,7 @@
         self._lease_s = interval_s * LEASE_HEARTBEATS
         self._last_reports: dict[str, _LastReport] = {}
         self._latest_start_ms = 0
+        self._bodies = BodyReader(MAX_BODY_BYTES, SHARED_BODY_BYTES)
         self._runner = web.ServerRunner(web.Server(self._handle))
 
     async def start(self, address: Address) -> None:
@@ -166,7 +172,10 @@
         if not is_rpc_call(request):
             return rpc_response(404, 'unknown call')
         target = request.query.get('of', '')
-        body = await request.read()
+        try:
+            body = await self._bodies.read(request)
+        except BodyTooLargeError as error:
+            return rpc_response(error.status, error.detail)
         match request.query.get('call'):
             case 'instances.heartbeat':
                 return self._handle_heartbeat(target, body)
--- a/lycheespar/platform/operators.py
+++ b/lycheespar/platform/operators.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from lycheespar.bodies import BodyReader
 from lycheespar.configuration.changes import (
     ANY_REVISION,
     Change,
@@ -17,6 +18,7 @@
 )
 from lycheespar.control.host import ControlHost
 from lycheespar.errors import (
+    BodyTooLargeError,
     ChangeConflictError,
     ChangeInvalidError,
     ControlError,
@@ -36,8 +38,9 @@
 from lycheespar.telemetry.events import OperatorCallEnded
 
 # Largest body of an operator call in bytes, enough for some ten thousand
-# routes.
-MAX_BODY_BYTES: Final = 32 * 1024 * 1024
+# routes, and bytes of all bodies that are being received.
+MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+SHARED_BODY_BYTES: Final = 16 * 1024 * 1024
 # Recorded as the operator of all changes that come from the platform.
 OPERATOR_NAME: Final = 'platform'
 
@@ -54,6 +57,7 @@
     def __init__(self, host: ControlHost) -> None:
         """Create a stopped server; `start` opens the port."""
         self._control_group = host.group
+        self._bodies = BodyReader(MAX_BODY_BYTES, SHARED_BODY_BYTES)
         server = web.Server(self._handle, handler_cancellation=True)
         self._runner = web.ServerRunner(server)
 
@@ -77,6 +81,9 @@
             status = _http_status(error)
             events.write(OperatorCallEnded(call, status, error.detail, 0))
             return rpc_response(status, error.detail)
+        except BodyTooLargeError as error:
+            events.write(OperatorCallEnded(call, error.status, error.detail, 0))
+            return rpc_response(error.status, error.detail)
 
     async def _handle_call(
         self,
@@ -91,9 +98,7 @@
             )
         if call == 'rollouts.get':
             return await self._get_rollout(request.query.get('of', ''))
-        body = await request.content.read(MAX_BODY_BYTES)
-        while not request.content.at_eof() and len(body) < MAX_BODY_BYTES:
-            body += await request.content.read(MAX_BODY_BYTES)
+        body = await self._bodies.read(request)
         change = _decode_change(call, request.query.get('of', ''), body)
         command = Command(
             _change_id(call, body, change),
--- a/lycheespar/targets/api.py
+++ b/lycheespar/targets/api.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import msgspec
 from aiohttp import web
 from loguru import logger
 
+from lycheespar.bodies import BodyReader
 from lycheespar.decoding import decode
+from lycheespar.errors import BodyTooLargeError
 from lycheespar.settings.options import Address, InvalidOptionError
 from lycheespar.targets.announcement import (
     Announcement,
@@ -15,6 +19,10 @@
 )
 
 ANNOUNCE_PATH = '/v1/announce'
+# Largest body of an announcement, and all bodies that are being received, in
+# bytes.
+MAX_BODY_BYTES: Final = 1024 * 1024
+SHARED_BODY_BYTES: Final = 4 * 1024 * 1024
 
 log = logger.bind(part='targets')
 
@@ -31,11 +39,12 @@
         Receives each valid announcement.
     """
 
-    __slots__ = ('_runner', '_target')
+    __slots__ = ('_bodies', '_runner', '_target')
 
     def __init__(self, target: LocalTarget) -> None:
         """Create a stopped server; `start` opens the port."""
         self._target = target
+        self._bodies = BodyReader(MAX_BODY_BYTES, SHARED_BODY_BYTES)
         self._runner = web.ServerRunner(web.Server(self._handle))
 
     async def start(self, address: Address) -> None:
@@ -51,8 +60,11 @@
         if (request.method, request.path) != ('POST', ANNOUNCE_PATH):
             return _problem(404, 'not_found', 'POST /v1/announce')
         try:
-            announcement = decode(_decoder, await request.read())
+            body = await self._bodies.read(request)
+            announcement = decode(_decoder, body)
             parse_target_address(announcement.address)
+        except BodyTooLargeError as error:
+            return _problem(error.status, error.code, error.detail)
         except (msgspec.DecodeError, InvalidOptionError) as error:
             return _problem(422, 'announcement_invalid', str(error))
         if announcement.lease_s <= 0:
