Control hosts: messages of any size are no longer taken from links

Seen at a control host with 30 connections: a frame or a command that declares 2 GB, of which 8 MB arrive on each, took it from 50 to 290 MB. It has 296 MB.

Cause: ZeroMQ receives messages of any size unless the socket names a limit.

The server's socket now has a limit of 12 MB. The largest proper request is the state of a group for a new control host: a configuration of at most 4 MB from one call, 1 MB of history, and 10,000 outcomes of commands.

The new test fails without the limit: the connection stays open. Not bounded by this: messages below the limit on many connections at once, and messages of parts without end.

--- a/lycheespar/control/link.py
+++ b/lycheespar/control/link.py
@@ -28,6 +28,8 @@
 RECONNECT_MS: Final = 50
 RECONNECT_MAX_MS: Final = 1000
 _SERIAL_BYTES: Final = 8
+# Largest request, in bytes: the state of a group, sent to a new control host.
+MAX_REQUEST_BYTES: Final = 12 * 1024 * 1024
 
 RequestType = TypeVar('RequestType')
 ReplyType = TypeVar('ReplyType')
@@ -201,6 +203,7 @@
         self._handle = handle
         self._socket = context.socket(zmq.ROUTER)
         _configure_socket(self._socket)
+        self._socket.set(zmq.MAXMSGSIZE, MAX_REQUEST_BYTES)
         self._tasks: set[asyncio.Task[None]] = set()
         self._reader: asyncio.Task[None] | None = None
 
--- a/lycheespar/tests/control/link_tests.py
+++ b/lycheespar/tests/control/link_tests.py
@@ -10,7 +10,11 @@
 import zmq.asyncio
 from loguru import logger
 
-from lycheespar.control.link import ControlLink, LinkServer
+from lycheespar.control.link import (
+    MAX_REQUEST_BYTES,
+    ControlLink,
+    LinkServer,
+)
 from lycheespar.control.messages import (
     ControlReply,
     ControlRequest,
@@ -85,3 +89,17 @@
     assert serial == b'87654321'
     assert not failed_tasks
     assert await _ask(context, server) == EvidenceNoted()
+
+
+async def test_a_connection_that_sends_a_huge_message_is_closed(
+    context, server
+):
+    socket = context.socket(zmq.DEALER)
+    monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+    socket.connect(f'tcp://{server}')
+    huge = Pull('x' * MAX_REQUEST_BYTES, 0, 0)
+    await socket.send_multipart((b'12345678', msgspec.msgpack.encode(huge)))
+    async with asyncio.timeout(10):
+        await monitor.recv_multipart()
+    socket.close()
+    assert await _ask(context, server) == EvidenceNoted()
