Stop: channels close once their bytes have arrived, within the stop's limit

A stop waited at least a second for each channel whose other node does not close, such as one that is frozen or cut off, also where nothing was on its way to it, and without any limit while bytes moved. Together with the end of callers' connections this is more than what is left of the grace period, after which a program is killed with all that it still does.

A channel closes as soon as the other host has acknowledged what was written, and at a time limit in any case. Channels and callers' connections end side by side, calls of other nodes are cancelled before the wait and not after it, and a stop reaches its limit at 0.9 of the platform's grace period.

--- a/lycheespar/drain.py
+++ b/lycheespar/drain.py
@@ -20,6 +20,8 @@
 # Time in seconds for which idle connections of callers stay open after the port
 # is closed.
 IDLE_LINGER_S: Final = 0.5
+# Shortest time in seconds for the last bytes to other nodes.
+CLOSE_S: Final = 0.3
 # Interval in seconds between two checks of a condition.
 POLL_INTERVAL_S: Final = 0.02
 # Longest time in seconds for which a starting node keeps its port closed.
@@ -81,6 +83,8 @@
 
     async def run(self) -> None:
         """Drain and stop; requests that exceed the time limit are aborted."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + self._limit_s
         log.info('The node is draining and finishes its requests.')
         self._target.mark_draining()
         self._ingress.drain(self._limit_s)
@@ -91,8 +95,11 @@
             log.warning(
                 'Drain time limit reached; aborting the remaining requests.',
             )
-        await _run_step(self._ingress.stop())
-        await _run_step(self._channels.stop())
+        channels_end_at = max(ends_at, loop.time() + CLOSE_S)
+        await asyncio.gather(
+            _run_step(self._ingress.stop()),
+            _run_step(self._channels.stop(channels_end_at)),
+        )
 
     async def _finish_requests(self) -> None:
         if self._ingress.listening:
--- a/lycheespar/platform/settings.py
+++ b/lycheespar/platform/settings.py
@@ -32,8 +32,8 @@
 # two checks that the node is not ready any more.
 DRAIN_SPREAD_SHARE: Final = 0.55
 # Share of the same time after which the node stops, even if requests are still
-# unanswered.
-DRAIN_SHARE: Final = 0.92
+# unanswered. Closing all connections takes a part of the rest.
+DRAIN_SHARE: Final = 0.9
 # Heartbeat interval and election time-out of the control group in seconds. They
 # allow for some round trips. A leader is to be elected within two time-outs, as
 # nodes without a disk wait for one after a power loss of all machines.
--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -22,9 +22,10 @@
 from lycheespar.streams import close_stream
 from lycheespar.telemetry.unhandled import report_unhandled
 
-# Time in seconds to wait for the transport to close. It begins again while
-# bytes still reach the other host.
+# Time in seconds for which no byte reaches the other host, after which what was
+# written is given up.
 CLOSE_TIMEOUT_S: Final = 1
+POLL_INTERVAL_S: Final = 0.02
 
 log = logger.bind(part='protocol')
 
@@ -127,22 +128,26 @@
         """Close the connection at once and discard its buffer."""
         self._writer.transport.abort()
 
-    async def wait_closed(self) -> None:
-        """Wait until the connection is closed.
+    async def wait_closed(self, until: float = float('inf')) -> None:
+        """Close the connection once what was written has arrived.
 
-        It is closed by this node if no byte reaches the other host for
-        `CLOSE_TIMEOUT_S`.
+        Parameters
+        ----------
+        until : float
+            Time in seconds on the event loop's clock at which it is closed
+            anyway, as it is if no byte arrives for `CLOSE_TIMEOUT_S`.
         """
-        closing = asyncio.ensure_future(self._writer.wait_closed())
+        loop = asyncio.get_running_loop()
         acknowledged = -1
-        while acknowledged < self.acknowledged_bytes:
-            acknowledged = self.acknowledged_bytes
-            await asyncio.wait([closing], timeout=CLOSE_TIMEOUT_S)
-            if closing.done():
+        gives_up_at = until
+        while not self._writer.is_closing() and loop.time() < gives_up_at:
+            if self.acknowledged_bytes > acknowledged:
+                acknowledged = self.acknowledged_bytes
+                gives_up_at = min(until, loop.time() + CLOSE_TIMEOUT_S)
+            if acknowledged == self.written_bytes:
                 break
+            await asyncio.sleep(POLL_INTERVAL_S)
         self._writer.close()
-        closing.cancel()
-        await asyncio.gather(closing, return_exceptions=True)
 
     def open_receiver(
         self,
--- a/lycheespar/protocol/incoming_channel.py
+++ b/lycheespar/protocol/incoming_channel.py
@@ -123,9 +123,9 @@
         """Close the channel at once and discard its buffer."""
         self._connection.abort()
 
-    async def wait_closed(self) -> None:
-        """Wait until the channel is closed, for a limited time."""
-        await self._connection.wait_closed()
+    async def wait_closed(self, until: float) -> None:
+        """Close the channel once its bytes have arrived, at a time at last."""
+        await self._connection.wait_closed(until)
 
     async def run(self, reader: asyncio.StreamReader, hello: Hello) -> None:
         """Handle messages until the channel ends, then detach its calls."""
--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -99,10 +99,16 @@
             'silent channels', self._close_silent
         )
 
-    async def stop(self) -> None:
+    async def stop(self, until: float = float('inf')) -> None:
         """Close the port, then all channels once their bytes have arrived.
 
         Calls that still run are cancelled.
+
+        Parameters
+        ----------
+        until : float
+            Time in seconds on the event loop's clock at which channels are
+            closed at the latest.
         """
         if self._server is not None:
             self._server.close()
@@ -111,8 +117,10 @@
         channels = tuple(self._channels)
         for channel in channels:
             channel.finish()
-        await asyncio.gather(*(closing.wait_closed() for closing in channels))
         await self._executions.close()
+        await asyncio.gather(
+            *(closing.wait_closed(until) for closing in channels)
+        )
 
     async def _serve_channel(
         self,
--- a/lycheespar/tests/drain_tests.py
+++ b/lycheespar/tests/drain_tests.py
@@ -32,7 +32,7 @@
         await asyncio.sleep(0.01)
         self._step('wait_until_idle')
 
-    async def stop(self) -> None:
+    async def stop(self, until: float = 0) -> None:
         self._step('stop')
 
     def _step(self, name: str) -> None:
