Ingress: a stop takes a short request in chunks that has arrived

Callers saw: requests with a body in chunks, however short, were refused with 503 from SIGTERM on if their deadline lies beyond the stop.

Cause: whether a body had arrived was told from how it is passed on, and each body in chunks is passed on as a stream. Now the body itself says whether its end was read.

The test failed before (503 in place of 200).

--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -282,7 +282,7 @@
             call.request_class,
             call.deadline,
             asyncio.get_running_loop().time(),
-            body_arrived=isinstance(call.body, bytes),
+            body_arrived=request.content.is_eof(),
         )
         request.request_class = call.request_class
         request.deadline = call.deadline
--- /dev/null
+++ b/lycheespar/tests/ingress/ending_tests.py
@@ -0,0 +1,26 @@
+"""Ends of callers' connections in stops and behind refusals."""
+
+from __future__ import annotations
+
+from lycheespar.tests.ingress.callers import GatedDispatch
+from lycheespar.tests.ingress.uploads import uploading
+
+LIMIT_BYTES = 400_000
+
+
+async def test_a_stop_takes_a_short_request_whose_chunks_have_arrived():
+    """It was refused as if its body were still on its way."""
+    dispatch = GatedDispatch()
+    dispatch.release('/book')
+    body = b'3\r\nabc\r\n0\r\n\r\n'
+    async with uploading(dispatch, LIMIT_BYTES) as uploader:
+        await uploader.begin('/book', 3)
+        await uploader.send(b'abc')
+        assert (await uploader.read_answer())[0] == 200
+        uploader.server.drain(2)
+        head = (
+            b'POST /book HTTP/1.1\r\nHost: desk.team\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        await uploader.send(head + body)
+        assert (await uploader.read_answer())[0] == 200
