Ingress: the refusal of a body over the limit is not reset

Callers saw: an upload that is longer than allowed, sent as a whole, ended with a broken pipe in place of its 413. This came with the end of connections that discards the rest of a body.

Cause: the rest was discarded up to the limit of bodies, and the connection was then closed with what was still unread.

--- a/lycheespar/ingress/connection.py
+++ b/lycheespar/ingress/connection.py
@@ -318,6 +318,8 @@
         limit = self._early_calls.max_body_bytes
         if not await discard_rest(request, limit):
             self.cut_report.reason = 'the rest of a body was not read'
+            # What the caller has sent already is read within a last limit.
+            await self._linger(transport)
             return True
         self._end.moved_at = self._loop.time()
         if ends or not request.content.is_eof():
--- a/lycheespar/ingress/ending.py
+++ b/lycheespar/ingress/ending.py
@@ -46,22 +46,27 @@
         seconds on the event loop's clock; minus infinity if none was written.
     """
 
-    __slots__ = ('_discarded_bytes', 'begun', 'moved_at')
+    __slots__ = ('_discarded_bytes', '_transport', 'begun', 'moved_at')
 
     def __init__(self) -> None:
         """Create the end of a connection that goes on for now."""
         self.begun = False
         self.moved_at = _NEVER
         self._discarded_bytes = 0
+        self._transport: asyncio.Transport | None = None
 
     def begin(self, transport: asyncio.Transport) -> None:
         """End the own direction; discard what arrives from now on."""
         self.begun = True
+        self._transport = transport
         end_own_direction(transport)
 
     def discard(self, data: bytes) -> None:
-        """Discard bytes."""
+        """Discard bytes; close the connection if they are too many."""
         self._discarded_bytes += len(data)
+        too_many = self._discarded_bytes > MAX_UNREAD_BYTES
+        if too_many and self._transport is not None:
+            self._transport.close()
 
     def may_close(self, transport: asyncio.Transport, now: float) -> bool:
         """Whether closing the connection now can discard no answer.
@@ -95,8 +100,6 @@
             patience_s = UNSENT_STALL_S if unsent else LINGER_S
             if loop.time() - self.moved_at >= patience_s:
                 break
-            if self._discarded_bytes > MAX_UNREAD_BYTES:
-                break
             await asyncio.sleep(_POLL_INTERVAL_S)
         transport.close()
 
--- a/lycheespar/tests/ingress/ending_tests.py
+++ b/lycheespar/tests/ingress/ending_tests.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
+
 from lycheespar.tests.ingress.callers import GatedDispatch
 from lycheespar.tests.ingress.uploads import uploading
 
 LIMIT_BYTES = 400_000
+PIECE_BYTES = 10_000
 
 
 async def test_a_stop_takes_a_short_request_whose_chunks_have_arrived():
@@ -24,3 +27,15 @@
         )
         await uploader.send(head + body)
         assert (await uploader.read_answer())[0] == 200
+
+
+@pytest.mark.parametrize('over_bytes', [100_000, 350_000, 600_000])
+async def test_a_whole_upload_over_the_limit_gets_its_refusal(over_bytes):
+    """The refusal was lost once as much as the limit had been discarded."""
+    dispatch = GatedDispatch()
+    async with uploading(dispatch, LIMIT_BYTES) as uploader:
+        total = LIMIT_BYTES + over_bytes
+        await uploader.begin('/book', total)
+        for _ in range(total // PIECE_BYTES):
+            await uploader.send(b'x' * PIECE_BYTES)
+        assert (await uploader.read_answer())[0] == 413
