Ingress: a request behind a streamed answer is refused in a stop, not dropped

Callers saw: a request on a kept connection ended without an answer once its node closed its connections, if the answer before it was streamed. Such an answer does not say that its connection ends. The request was read and discarded, so that its caller could not know that it never ran.

Cause: a connection whose last answer was sent less than a second before was taken for one whose caller knows its end: the own direction was ended and the rest discarded. Now it is read on until that second has passed; what arrives is refused with 503 and ends the connection.

The test failed before with the end of the connection in place of 503.

--- a/lycheespar/ingress/connection.py
+++ b/lycheespar/ingress/connection.py
@@ -64,6 +64,7 @@
 
     __slots__ = (
         '_broken',
+        '_closes_at',
         '_closing',
         '_current',
         '_early_calls',
@@ -98,6 +99,8 @@
         self._early_requests: dict[int, CallerRequest] = {}
         self._current: CallerRequest | None = None
         self._closing = False
+        # Until when a request may still arrive before the connection closes.
+        self._closes_at = float('-inf')
         self._last_answer_begun = False
         # Whether an answered request or connection is still read to its end.
         self._finishing = False
@@ -113,7 +116,10 @@
         is still read, or the caller may still receive the last answer.
         """
         return (
-            self._current is not None or bool(self._messages) or self._finishing
+            self._current is not None
+            or bool(self._messages)
+            or self._finishing
+            or self._loop.time() < self._closes_at
         )
 
     @property
@@ -193,8 +199,14 @@
         self._closing = True
         if self.busy:
             return
-        super().close()
         transport = self.transport
+        wait_s = self._end.wait_s(self._loop.time())
+        if transport is not None and wait_s:
+            # Its last answer said that the connection goes on.
+            self._closes_at = self._loop.time() + wait_s
+            self._loop.call_at(self._closes_at, self.close)
+            return
+        super().close()
         if transport is None:
             return
         self.cut_report.reason = 'the connection was idle'
--- a/lycheespar/ingress/ending.py
+++ b/lycheespar/ingress/ending.py
@@ -68,6 +68,18 @@
         if too_many and self._transport is not None:
             self._transport.close()
 
+    def wait_s(self, now: float) -> float:
+        """Return for how long the caller may still send a request.
+
+        Until then it may not know that the connection is about to end.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds on the event loop's clock.
+        """
+        return max(self.moved_at + LINGER_S - now, 0)
+
     def may_close(self, transport: asyncio.Transport, now: float) -> bool:
         """Whether closing the connection now can discard no answer.
 
--- a/lycheespar/tests/ingress/ending_tests.py
+++ b/lycheespar/tests/ingress/ending_tests.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
-from lycheespar.tests.ingress.callers import GatedDispatch
+from lycheespar.tests.ingress.callers import GatedDispatch, connected
 from lycheespar.tests.ingress.uploads import uploading
 
 LIMIT_BYTES = 400_000
@@ -39,3 +41,22 @@
         for _ in range(total // PIECE_BYTES):
             await uploader.send(b'x' * PIECE_BYTES)
         assert (await uploader.read_answer())[0] == 413
+
+
+async def test_a_request_behind_a_streamed_answer_is_answered_in_a_stop():
+    """It was read and discarded on a connection that was to be kept open."""
+    dispatch = GatedDispatch()
+    dispatch.streams['/get/0'] = [b'y' * 1000]
+    dispatch.release('/get/0', '/book')
+    async with connected(dispatch) as caller:
+        caller.send('GET /get/0')
+        _, head, _ = await caller.receive()
+        assert b'close' not in head.lower()
+        caller.server.drain(60)
+        stopping = asyncio.create_task(caller.server.wait_until_idle(0))
+        await asyncio.sleep(0.05)
+        caller.send('POST /book')
+        status, _, _ = await caller.receive()
+        assert status == 503
+        caller.writer.close()
+        await stopping
