Bound the heads of requests before they are parsed

Callers saw: nodes that ran out of memory beside clients with heads over the limit or without end.

Cause: after an error of the parser reading went on, each further segment raised another error, and each error kept the bytes that it describes several times over. aiohttp bounds a line and the number of fields, not the head; heads that wait for their turn were bounded by number, whatever their size.

Heads that wait or are unfinished share a bound on their memory. The pieces for the parser end exactly where a head ends, also when its end stands in two segments.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -29,6 +29,7 @@
 from lycheespar.drain import GracefulStop, wait_until_current
 from lycheespar.heap import tune_garbage_collector
 from lycheespar.ingress.call_builder import CallBuilder
+from lycheespar.ingress.limits import settings_limits
 from lycheespar.ingress.server import IngressServer
 from lycheespar.membership import own_records
 from lycheespar.membership.broadcast import BroadcastTable
@@ -176,6 +177,7 @@
             ),
             profile,
             log_answers=settings.log_answers,
+            limits=settings_limits(settings),
         )
         self._channel_server = ChannelServer(
             CallTable(execution),
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -173,6 +173,19 @@
     status = 413
 
 
+class HeadTooLargeError(RefusedError):
+    """The head of the request exceeds the limit."""
+
+    code = 'head_too_large'
+    status = 431
+
+
+class RequestsOverMemoryError(RefusedError):
+    """Unfinished and waiting requests use all memory that they may use."""
+
+    code = 'requests_over_memory'
+
+
 class LoopDetectedError(RefusedError):
     """Calls are nested too deeply; services probably call in a loop."""
 
--- /dev/null
+++ b/lycheespar/http_limits/connection.py
@@ -0,0 +1,141 @@
+"""Connection of an HTTP server that bounds what unfinished requests cost."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Final
+
+from aiohttp import web
+from aiohttp.helpers import DEFAULT_CHUNK_SIZE
+
+from lycheespar.errors import RequestsOverMemoryError
+from lycheespar.http_limits.head_queue import HeadQueue
+from lycheespar.http_limits.reading import BoundedReading
+
+if TYPE_CHECKING:
+    from lycheespar.http_limits.server import BoundedServer
+
+# Memory that a connection may use in any case.
+FAIR_BYTES: Final = 64 * 1024
+# Memory of a body that is received faster than it is read.
+BODY_BYTES: Final = 2 * DEFAULT_CHUNK_SIZE
+# Memory that the parser needs for a byte of an unfinished head.
+_PARSER_BYTES: Final = 4
+
+
+class BoundedConnection(BoundedReading):
+    """Protocol of one connection, with the limits of its server.
+
+    Adds limits of the memory of all connections together.
+
+    Parameters
+    ----------
+    manager : BoundedServer
+        Server that has accepted the connection.
+    queue : HeadQueue
+        Holds the requests until their turn.
+    loop : asyncio.AbstractEventLoop
+        The event loop.
+    **options : Any
+        Options of the base class.
+    """
+
+    __slots__ = (
+        '_held_bytes',
+        '_quiet_since',
+    )
+
+    def __init__(
+        self,
+        manager: BoundedServer,
+        queue: HeadQueue,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        **options: Any,
+    ) -> None:
+        """Create the protocol of a new connection."""
+        super().__init__(manager, queue, loop=loop, **options)
+        self._held_bytes = 0
+        self._quiet_since = loop.time()
+
+    @property
+    def awaits_request(self) -> bool:
+        """Whether all requests of the connection are answered."""
+        waiter = self._waiter
+        return waiter is not None and not waiter.done()
+
+    @property
+    def quiet_since(self) -> tuple[bool, float]:
+        """Order in which connections are closed to make room.
+
+        Those without a whole request so far come first, then those whose last
+        answer was sent the longest time ago.
+        """
+        return self._request_count > 0, self._quiet_since
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a part of a request was received, or bytes that are none."""
+        if self.awaits_request:
+            return self._framing.head_bytes > 0
+        return self._broken and not (self._messages or self._current_request)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop to read."""
+        if self._reading_later is not None:
+            self._reading_later.cancel()
+        super().connection_lost(exc)
+
+    def force_close(self) -> None:
+        """Close the connection at once; release what it holds."""
+        super().force_close()
+        self._framing.clear()
+        self._server.change_held(-self._held_bytes)
+        self._held_bytes = 0
+
+    def _read(self, parse: Callable[[bytes], None], *, new_data: bool) -> None:
+        super()._read(parse, new_data=new_data)
+        if self._update_held() and self._server.memory_is_exhausted:
+            self._release_memory()
+
+    def _update_held(self) -> bool:
+        """Tell the server how much memory the connection holds.
+
+        Returns
+        -------
+        bool
+            Whether it is more than before.
+        """
+        framing = self._framing
+        held_bytes = (
+            len(framing)
+            + framing.head_bytes * _PARSER_BYTES
+            + self._queue.held_bytes
+        )
+        if self._reading_paused:
+            held_bytes += BODY_BYTES
+        change = held_bytes - self._held_bytes
+        if not change or self._force_close:
+            return False
+        self._held_bytes = held_bytes
+        self._server.change_held(change)
+        return change > 0
+
+    def _release_memory(self) -> None:
+        """Release memory of unfinished requests, or of this connection."""
+        self._server.release_unfinished()
+        exhausted = self._server.memory_is_exhausted
+        if exhausted and self._held_bytes > FAIR_BYTES and self._framing:
+            self.reject(RequestsOverMemoryError())
+            self._update_held()
+
+    async def _handle_request(
+        self, request: web.BaseRequest, *arguments: Any
+    ) -> tuple[web.StreamResponse, bool]:
+        try:
+            return await super()._handle_request(request, *arguments)
+        finally:
+            self._quiet_since = self._loop.time()
+            self._queue.release_taken()
+            self._update_held()
--- /dev/null
+++ b/lycheespar/http_limits/limits.py
@@ -0,0 +1,22 @@
+"""Limits on the connections and unfinished requests of an HTTP server."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class RequestLimits(msgspec.Struct, frozen=True):
+    """Limits of one HTTP server.
+
+    Attributes
+    ----------
+    head_bytes : int
+        Largest size of the head of a request in bytes, and of the empty lines
+        before it, its trailers and the sizes of its chunks.
+    held_bytes : int
+        Memory in bytes that unfinished and waiting requests may use on all
+        connections together.
+    """
+
+    head_bytes: int = 16 * 1024
+    held_bytes: int = 4 * 1024 * 1024
--- /dev/null
+++ b/lycheespar/http_limits/server.py
@@ -0,0 +1,140 @@
+"""HTTP server whose connections share limits."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any, Final
+
+from aiohttp import web
+
+from lycheespar.errors import RequestError
+from lycheespar.http_limits.connection import BoundedConnection
+from lycheespar.http_limits.head_queue import HeadQueue
+from lycheespar.http_limits.limits import RequestLimits
+from lycheespar.line_budget import LineBudget
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.limit_events import ConnectionRejected
+
+# Heads that need less memory than this are always kept.
+SMALL_HEAD_BYTES: Final = 16 * 1024
+# Share of the connections that are closed together to make room.
+RELEASED_SHARE: Final = 1 / 32
+
+
+class BoundedServer(web.Server):
+    """Server that bounds its connections and what they hold.
+
+    Parameters
+    ----------
+    handler : Callable
+        Answers a request.
+    limits : RequestLimits
+        Limits of the server.
+    **options : Any
+        Options of the base class.
+
+    Attributes
+    ----------
+    rejected : Counter[str]
+        Connections outside the limits, by the code of the error.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[Any], Awaitable[web.StreamResponse]],
+        limits: RequestLimits,
+        **options: Any,
+    ) -> None:
+        """Create a server without connections."""
+        super().__init__(handler, **options)
+        self._limits = limits
+        self.rejected: Counter[str] = Counter()
+        self._held_bytes = 0
+        self._lines = LineBudget(self._loop.time())
+
+    def __call__(self) -> BoundedConnection:
+        """Return the protocol of a new connection."""
+        options: dict[str, Any] = self._kwargs
+        return BoundedConnection(
+            self, HeadQueue(self.admits_head), loop=self._loop, **options
+        )
+
+    @property
+    def limits(self) -> RequestLimits:
+        """Limits in force."""
+        return self._limits
+
+    def change_limits(self, limits: RequestLimits) -> None:
+        """Put limits in force, for open connections too."""
+        self._limits = limits
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that unfinished and waiting requests use."""
+        return self._held_bytes
+
+    @property
+    def memory_is_scarce(self) -> bool:
+        """Whether half of the memory for requests is in use."""
+        return self._held_bytes * 2 > self.limits.held_bytes
+
+    @property
+    def memory_is_exhausted(self) -> bool:
+        """Whether all memory for requests is in use."""
+        return self._held_bytes > self.limits.held_bytes
+
+    def admits_head(self, size: int) -> bool:
+        """Return whether a head may be kept.
+
+        Parameters
+        ----------
+        size : int
+            Memory in bytes that it needs.
+        """
+        if size <= SMALL_HEAD_BYTES:
+            return True
+        return self._held_bytes + size <= self.limits.held_bytes
+
+    def change_held(self, change: int) -> None:
+        """Note that a connection holds more or fewer bytes than before."""
+        self._held_bytes += change
+
+    def count_rejected(self, error: BaseException) -> None:
+        """Count a connection that is read no further after an error."""
+        code = error.code if isinstance(error, RequestError) else 'internal'
+        self.rejected[code] += 1
+        events.write(ConnectionRejected(code, len(self._connections)))
+
+    def spend_lines(self, lines: int) -> float:
+        """Charge lines of bodies; return for how many seconds to pause."""
+        return self._lines.spend(lines, self._loop.time())
+
+    def release_unfinished(self) -> None:
+        """Close the quietest connections with a request that is not whole."""
+        unfinished = (
+            connection
+            for connection in self._bounded_connections()
+            if connection.is_unfinished
+        )
+        self._close_quietest(unfinished)
+
+    def _close_quietest(self, candidates: Iterator[BoundedConnection]) -> int:
+        """Close some of the connections; return how many were closed."""
+        count = max(int(len(self._connections) * RELEASED_SHARE), 1)
+        closed = heapq.nsmallest(count, candidates, key=_quiet_since)
+        for connection in closed:
+            connection.force_close()
+        return len(closed)
+
+    def _bounded_connections(self) -> Iterator[BoundedConnection]:
+        return (
+            connection
+            for connection in tuple(self._connections)
+            if isinstance(connection, BoundedConnection)
+        )
+
+
+def _quiet_since(connection: BoundedConnection) -> tuple[bool, float]:
+    return connection.quiet_since
--- a/lycheespar/ingress/caller_server.py
+++ b/lycheespar/ingress/caller_server.py
@@ -7,12 +7,14 @@
 
 from aiohttp import web
 
+from lycheespar.http_limits.limits import RequestLimits
+from lycheespar.http_limits.server import BoundedServer
 from lycheespar.ingress.connection import CallerConnection
 from lycheespar.ingress.early_calls import EarlyCalls
 from lycheespar.ingress.listener import accept_all_segments
 
 
-class CallerServer(web.Server):
+class CallerServer(BoundedServer):
     """Creates the protocol for each connection from a caller.
 
     Parameters
@@ -21,6 +23,8 @@
         Answers a request.
     early_calls : EarlyCalls
         Starts the calls of pipelined requests.
+    limits : RequestLimits
+        Limits of the server.
     **options : Any
         Options of the base class.
     """
@@ -29,10 +33,11 @@
         self,
         handler: Callable[[Any], Awaitable[web.StreamResponse]],
         early_calls: EarlyCalls,
+        limits: RequestLimits,
         **options: Any,
     ) -> None:
         """Create a server without connections."""
-        super().__init__(handler, **options)
+        super().__init__(handler, limits, **options)
         self._early_calls = early_calls
 
     def __call__(self) -> CallerConnection:
--- a/lycheespar/ingress/connection.py
+++ b/lycheespar/ingress/connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from itertools import chain
 from typing import Any, Final, cast
 
@@ -19,6 +18,8 @@
     InternalRequestError,
     RequestError,
 )
+from lycheespar.http_limits.connection import BoundedConnection
+from lycheespar.http_limits.server import BoundedServer
 from lycheespar.ingress.answers import problem_response
 from lycheespar.ingress.body import discard_rest
 from lycheespar.ingress.cut_report import CutReport
@@ -32,13 +33,11 @@
 from lycheespar.ingress.message_queue import MessageQueue
 from lycheespar.ingress.request import CallerRequest
 from lycheespar.protocol.sockets import tune_socket
-from lycheespar.telemetry.unhandled import report_unhandled
-from lycheespar.unparsed import UnparsedBytes
 
 INTERNAL_SERVER_ERROR: Final = 500
 
 
-class CallerConnection(RequestHandler):
+class CallerConnection(BoundedConnection):
     """Protocol of one connection from a caller.
 
     The base class handles the requests of a connection one after the other.
@@ -47,7 +46,7 @@
 
     Parameters
     ----------
-    manager : web.Server
+    manager : BoundedServer
         Server that has accepted the connection.
     early_calls : EarlyCalls
         Starts the calls of pipelined requests.
@@ -63,7 +62,6 @@
     """
 
     __slots__ = (
-        '_broken',
         '_closing',
         '_current',
         '_early_calls',
@@ -72,28 +70,24 @@
         '_end_task',
         '_finishing',
         '_last_answer_begun',
-        '_queue',
-        '_unparsed',
         'cut_report',
     )
 
+    _queue: MessageQueue
+
     def __init__(
         self,
-        manager: web.Server,
+        manager: BoundedServer,
         early_calls: EarlyCalls,
         *,
         loop: asyncio.AbstractEventLoop,
         **options: Any,
     ) -> None:
         """Create the protocol of a new connection."""
-        super().__init__(manager, loop=loop, **options)
+        queue = MessageQueue(loop.time, manager.admits_head)
+        super().__init__(manager, queue, loop=loop, **options)
         self._request_factory = self._take_request
         self._early_calls = early_calls
-        self._queue = MessageQueue(loop.time)
-        self._messages = self._queue
-        # Bytes that wait until the queue of messages has room.
-        self._unparsed = UnparsedBytes()
-        self._broken = False
         # Requests whose calls were started early, by the id of their message.
         self._early_requests: dict[int, CallerRequest] = {}
         self._current: CallerRequest | None = None
@@ -147,15 +141,8 @@
         if self._end.begun:
             self._end.discard(data)
             return
-        if self._broken:
-            return
-        self._unparsed.add(data)
         count = self._request_count
-        try:
-            self._read(super().data_received, new_data=bool(data))
-        except Exception as error:  # requests read so far are still answered
-            self._stop_reading(error)
-            return
+        super().data_received(data)
         arrived = self._request_count - count
         if arrived and (self._current or len(self._messages) > 1):
             self._start_early_calls()
@@ -212,7 +199,7 @@
         bool
             Whether the current answer is the last one on the connection.
         """
-        self._last_answer_begun = not (self._messages or self._unparsed)
+        self._last_answer_begun = not (self._messages or self._framing)
         return self._last_answer_begun
 
     def handle_error(
@@ -229,50 +216,17 @@
         if request.writer.output_size > 0:
             raise ConnectionResetError
         error: RequestError = BadRequestError('the request is not valid HTTP')
-        if status >= INTERNAL_SERVER_ERROR:
+        if isinstance(exc, RequestError):
+            error = exc
+        elif status >= INTERNAL_SERVER_ERROR:
             error = InternalRequestError(str(exc))
         response = problem_response(error)
         response.force_close()
         return response
 
-    def _read(self, parse: Callable[[bytes], None], *, new_data: bool) -> None:
-        """Parse bytes until messages or a body must be taken."""
-        if not new_data:
-            # The parser may have kept bytes.
-            parse(b'')
-        while (
-            self._unparsed
-            and len(self._messages) < self._max_msg_queue_size
-            and not self._reading_paused
-        ):
-            parse(self._unparsed.take())
-            self._resume_behind_upgrade()
-
-    def _stop_reading(self, error: Exception) -> None:
-        """Report an error while reading; read nothing more."""
-        report_unhandled(
-            'A request could not be read.',
-            error,
-            transport=self.transport,
-            requests=self.request_ids,
-        )
-        self._broken = True
-        self._unparsed.clear()
+    def _fail_body(self) -> None:
+        """Fail the body that is being received."""
         self._queue.fail_newest_body()
-        self.close()
-
-    def _resume_behind_upgrade(self) -> None:
-        """Go on to read requests behind one that asks for another protocol.
-
-        No other protocol is accepted, and the base class would not read them
-        before that request is answered.
-        """
-        if self._upgraded and self._parser is not None:
-            self._parser.set_upgraded(False)
-            self._upgraded = False
-            if self._message_tail:
-                self._unparsed.put_back(self._message_tail)
-                self._message_tail = b''
 
     async def _handle_request(
         self, request: web.BaseRequest, *arguments: Any
@@ -328,6 +282,7 @@
     async def _linger(self, transport: asyncio.Transport) -> None:
         """Discard what still arrives until the caller closes the connection."""
         self.cut_report.reason = 'the caller did not close the connection'
+        self._framing.clear()
         self._end.begin(transport)
         self._buffer_paused = False
         self._reading_paused = False
--- a/lycheespar/ingress/message_queue.py
+++ b/lycheespar/ingress/message_queue.py
@@ -4,16 +4,15 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import Any
 
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web import RequestPayloadError
 
-Entry = tuple[Any, Any]
+from lycheespar.http_limits.head_queue import Entry, HeadQueue
 
 
-class MessageQueue(deque[Entry]):
+class MessageQueue(HeadQueue):
     """Queue that notes when each of its messages arrived.
 
     aiohttp appends messages at more than one place and takes them at another,
@@ -23,6 +22,8 @@
     ----------
     clock : Callable[[], float]
         Returns the current time in seconds.
+    admits : Callable[[int], bool]
+        Whether a head of a length that needs some memory may be kept.
 
     Attributes
     ----------
@@ -40,9 +41,13 @@
         'taken_read_at',
     )
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        admits: Callable[[int], bool],
+    ) -> None:
         """Create an empty queue."""
-        super().__init__()
+        super().__init__(admits)
         self._clock = clock
         self._times: deque[float] = deque()
         self._newest_body: StreamReader | None = None
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -11,12 +11,14 @@
 
 from lycheespar.call import Answer, Dispatch
 from lycheespar.errors import InternalRequestError, Outcome, RequestError
+from lycheespar.http_limits.limits import RequestLimits
 from lycheespar.ingress.answers import problem_response, send_answer
 from lycheespar.ingress.body import CallerBody
 from lycheespar.ingress.call_builder import CallBuilder
 from lycheespar.ingress.caller_server import CallerServer
 from lycheespar.ingress.connection import CallerConnection
 from lycheespar.ingress.ending import reset_connection
+from lycheespar.ingress.limits import caller_limits
 from lycheespar.ingress.listener import ignore_new_connections, open_listener
 from lycheespar.ingress.request import CallerRequest
 from lycheespar.ingress.stop_admission import StopAdmission
@@ -27,10 +29,14 @@
 from lycheespar.telemetry.events import Answered, AnswerTruncated, RequestFailed
 from lycheespar.telemetry.unhandled import report_unhandled
 
-KEEPALIVE_TIMEOUT_S: Final = 75
 POLL_INTERVAL_S: Final = 0.02
 # Time in seconds for writing the last answers before connections are closed.
 SHUTDOWN_TIMEOUT_S: Final = 1
+KEEPALIVE_TIMEOUT_S: Final = 75
+DEFAULT_LIMITS: Final = RequestLimits(
+    head_bytes=64 * 1024,
+    held_bytes=32 * 1024 * 1024,
+)
 
 
 class IngressServer:
@@ -46,6 +52,8 @@
         Names of the headers.
     log_answers : bool
         Whether targets' answers are logged, and not only failed requests.
+    limits : RequestLimits
+        Limits that apply where the configuration names none.
     """
 
     __slots__ = (
@@ -67,6 +75,7 @@
         profile: HeaderProfile = DEFAULT_PROFILE,
         *,
         log_answers: bool = False,
+        limits: RequestLimits = DEFAULT_LIMITS,
     ) -> None:
         """Create a stopped server; `start` opens the port."""
         self._call_builder = call_builder
@@ -79,12 +88,18 @@
         self._server = CallerServer(
             self._handle,
             self,
+            limits,
             handler_cancellation=True,
             auto_decompress=False,
             lingering_time=0,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             access_log=None,
         )
+        call_builder.configuration.changes.subscribe(
+            lambda configuration: self._server.change_limits(
+                caller_limits(limits, configuration.plan.limits)
+            )
+        )
         self._runner = web.ServerRunner(
             self._server,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
--- a/lycheespar/settings/definitions.py
+++ b/lycheespar/settings/definitions.py
@@ -120,6 +120,18 @@
         1024 * 1024 * 1024,
         low=1,
     )
+    max_head_bytes = Integer(
+        'Largest size of the head of a request, in bytes, if the '
+        'configuration does not limit it.',
+        64 * 1024,
+        low=1024,
+    )
+    max_request_memory = Integer(
+        'Memory in bytes that the heads of unfinished and waiting requests of '
+        'all callers may use together.',
+        32 * 1024 * 1024,
+        low=1024 * 1024,
+    )
 
     def contradictions(self) -> Iterator[str]:
         """Yield contradictions between keys whose values are valid."""
--- a/lycheespar/targets/connection.py
+++ b/lycheespar/targets/connection.py
@@ -11,7 +11,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 
-from lycheespar.targets.line_budget import LineBudget
+from lycheespar.line_budget import LineBudget
 from lycheespar.targets.shedding import NOT_RUN_STATUSES
 from lycheespar.unparsed import UnparsedBytes
 
--- /dev/null
+++ b/lycheespar/tests/http_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits of HTTP servers."""
--- a/lycheespar/tests/targets/endless_answers_tests.py
+++ b/lycheespar/tests/targets/endless_answers_tests.py
@@ -9,6 +9,11 @@
 
 from lycheespar.call import Load
 from lycheespar.errors import RequestError
+from lycheespar.line_budget import (
+    BURST_LINES,
+    LINES_PER_S,
+    LineBudget,
+)
 from lycheespar.targets.announcement import Announcement
 from lycheespar.targets.client import TargetClient
 from lycheespar.targets.connection import (
@@ -16,11 +21,6 @@
     MAX_PIECE_BYTES,
     StrictResponseHandler,
 )
-from lycheespar.targets.line_budget import (
-    BURST_LINES,
-    LINES_PER_S,
-    LineBudget,
-)
 from lycheespar.tests.admission.calls import make_call
 from standins.cluster import wait_until
 
--- a/tools/events_page.py
+++ b/tools/events_page.py
@@ -14,6 +14,7 @@
     crash_events,
     error_events,
     events,
+    limit_events,
     quota_events,
     rollout_events,
 )
@@ -29,6 +30,7 @@
         control_events,
         crash_events,
         error_events,
+        limit_events,
         quota_events,
         rollout_events,
     )
