Skip empty lines before a request without the parser

Callers saw: a node that stood still for over a minute beside clients that send empty lines without end.

Cause: what arrives is cut at each end of a head, and two empty lines look like one: a segment of 256,000 bytes was 64,000 calls of the parser in one turn of the event loop.

It is known exactly whether the parser is between two requests, so empty lines there are skipped in one step. As many bytes as a head may have are allowed, then the connection gets 431.

--- a/lycheespar/http_limits/framing.py
+++ b/lycheespar/http_limits/framing.py
@@ -27,24 +27,30 @@
     head_bytes : int
         Bytes since the last progress that belong to no complete head and no
         body: parts of a head, trailers, sizes and extensions of chunks.
+    empty_bytes : int
+        Bytes of empty lines since the last request; the parser gets none.
     """
 
     __slots__ = (
+        '_at_start',
         '_body',
         '_body_bytes',
         '_body_left',
         '_unparsed',
+        'empty_bytes',
         'head_bytes',
     )
 
     def __init__(self) -> None:
         """Start before the first request."""
         self._unparsed = UnparsedBytes()
+        self._at_start = True
         self._body: StreamReader | None = None
         # Bytes to come of a body with a declared length; 0 if it is chunked.
         self._body_left = 0
         self._body_bytes = 0
         self.head_bytes = 0
+        self.empty_bytes = 0
 
     def __bool__(self) -> bool:
         """Whether there are bytes to parse."""
@@ -59,6 +65,11 @@
         """Body that is being received."""
         return self._body
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Bytes of an unfinished head, or of the empty lines before it."""
+        return max(self.head_bytes, self.empty_bytes)
+
     @property
     def is_chunked(self) -> bool:
         """Whether a body in chunks is being received."""
@@ -71,6 +82,7 @@
     def put_back(self, data: bytes) -> None:
         """Add bytes behind a request that the parser has not read."""
         self._unparsed.put_back(data)
+        self._at_start = self._body is None
 
     def clear(self) -> None:
         """Discard all bytes and forget the body."""
@@ -78,17 +90,22 @@
         self._end_body()
 
     def take(self) -> bytes:
-        """Take the next piece."""
+        """Take the next piece; none if there were only empty lines."""
         body = self._body
         if body is not None and body.is_eof():
             self._end_body()
             body = None
-        if body is not None and self._body_left:
+        if body is None:
+            if self._at_start:
+                self.empty_bytes += self._unparsed.skip_line_ends()
+        elif self._body_left:
             return self._take_of_body()
-        if body is not None:
+        else:
             self._body_bytes = body.total_bytes
         piece = self._unparsed.take(MAX_PIECE_BYTES)
         self.head_bytes += len(piece)
+        if piece:
+            self._at_start = False
         return piece
 
     def add_message(
@@ -96,6 +113,7 @@
     ) -> None:
         """Note that the piece taken last has completed a head."""
         self.head_bytes = 0
+        self.empty_bytes = 0
         if body.is_eof():
             self._end_body()
             return
@@ -128,3 +146,4 @@
         self._body = None
         self._body_left = 0
         self.head_bytes = 0
+        self._at_start = self._unparsed.ended_head
--- a/lycheespar/http_limits/reading.py
+++ b/lycheespar/http_limits/reading.py
@@ -171,7 +171,7 @@
         framing = self._framing
         chunked = framing.is_chunked
         piece = framing.take()
-        if framing.head_bytes > self._server.limits.head_bytes:
+        if framing.unfinished_bytes > self._server.limits.head_bytes:
             self.reject(HeadTooLargeError())
         elif piece:
             self._parse(parse, piece)
--- a/lycheespar/tests/http_limits/heads_tests.py
+++ b/lycheespar/tests/http_limits/heads_tests.py
@@ -6,6 +6,7 @@
 import tracemalloc
 
 import pytest
+from aiohttp.web_protocol import RequestHandler
 
 from lycheespar.tests.http_limits.clients import (
     caller_of,
@@ -117,3 +118,61 @@
         caller.writer.write(b'\r\nnonsense\r\n\r\n')
         assert (await caller.receive())[0] == 200
         assert (await caller.receive())[0] == 400
+
+
+async def test_empty_lines_cost_no_calls_of_the_parser(monkeypatch):
+    """Each second line was a call, so that the event loop stood still."""
+    calls = []
+    parse = RequestHandler.data_received
+
+    def count(connection: RequestHandler, data: bytes) -> None:
+        calls.append(data)
+        parse(connection, data)
+
+    monkeypatch.setattr(RequestHandler, 'data_received', count)
+    connection = open_connection(new_server())
+    connection.data_received(b'\r\n' * (SEGMENT // 2))
+    connection.connection_lost(None)
+    await asyncio.sleep(0)
+    assert len(calls) < 100
+
+
+@pytest.mark.parametrize('lines', [b'\r\n', b'\n\n\r', b'\r\n' * 50])
+async def test_empty_lines_before_a_request_are_skipped(lines):
+    """Clients may send some, but not more than a head may be long."""
+    dispatch = GatedDispatch()
+    dispatch.release('/get/0')
+    server = new_server(dispatch=dispatch)
+    async with serving(server), caller_of(server) as caller:
+        caller.writer.write((lines + HEAD + b'\r\n') * 3)
+        for _ in range(3):
+            assert (await caller.receive())[0] == 200
+        caller.writer.write(b'\r\n' * 10_000)
+        assert (await caller.receive())[0] == 431
+
+
+async def test_line_ends_within_bodies_are_kept():
+    """Only those between two requests are skipped."""
+    dispatch = GatedDispatch()
+    dispatch.release('/book', '/get/0')
+    server = new_server(dispatch=dispatch)
+    body = b'\r\n\r\n' * 40
+    length = str(len(body)).encode()
+    post = b'POST /book HTTP/1.1\r\nHost: desk.team\r\n'
+    async with serving(server), caller_of(server) as caller:
+        for framing, sent in (
+            (b'Content-Length: ' + length, body),
+            (
+                b'Transfer-Encoding: chunked',
+                b'%x\r\n%b\r\n0\r\n\r\n' % (len(body), body),
+            ),
+        ):
+            caller.writer.write(post + framing + b'\r\n\r\n')
+            for begin in range(0, len(sent), 3):
+                caller.writer.write(sent[begin : begin + 3])
+                await asyncio.sleep(0)
+            caller.writer.write(HEAD + b'\r\n')
+            assert (await caller.receive())[0] == 200
+            assert (await caller.receive())[0] == 200
+    bodies = [call.body for call in dispatch.calls if call.path == '/book']
+    assert bodies[0] == body
--- a/lycheespar/unparsed.py
+++ b/lycheespar/unparsed.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 HEAD_END: Final = b'\r\n\r\n'
+_LINE_ENDS: Final = b'\r\n'
 # Bytes of a head's end that may stand in the piece before.
 _MOST_OVERLAP: Final = len(HEAD_END) - 1
 
@@ -72,6 +73,18 @@
         self._last = b''
         return self._cut(self._begin + limit)
 
+    def skip_line_ends(self) -> int:
+        """Discard CR and LF before all other bytes; return their number."""
+        begin = self._begin
+        if self._data[begin : begin + 1] not in _LINE_ENDS:
+            return 0
+        rest = self._data[begin:].lstrip(_LINE_ENDS)
+        skipped = len(self) - len(rest)
+        self._data = rest
+        self._begin = 0
+        self._last = b''
+        return skipped
+
     def clear(self) -> None:
         """Discard all bytes."""
         self._data = b''
