Enforce the time limits for heads and idle connections

Callers saw: connections with half a head, with nothing, or with an empty line now and then were never closed, or only after 75 s.

Cause: header_timeout and idle_timeout of the configuration were read and used nowhere.

One timer a port looks at all connections each second; a request costs no timer. A head that is late gets 408 (not run). A limit must have been exceeded at the check before, so that bytes which arrived while the process stood still are read first. New limits apply to open connections. Settings have the limits for configurations without any.

--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -180,6 +180,13 @@
     status = 431
 
 
+class HeadTimeoutError(RefusedError):
+    """The head of the request was not received within the time limit."""
+
+    code = 'head_timeout'
+    status = 408
+
+
 class RequestsOverMemoryError(RefusedError):
     """Unfinished and waiting requests use all memory that they may use."""
 
--- a/lycheespar/http_limits/connection.py
+++ b/lycheespar/http_limits/connection.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from aiohttp.helpers import DEFAULT_CHUNK_SIZE
 
-from lycheespar.errors import RequestsOverMemoryError
+from lycheespar.errors import HeadTimeoutError, RequestsOverMemoryError
 from lycheespar.http_limits.head_queue import HeadQueue
 from lycheespar.http_limits.reading import BoundedReading
 
@@ -27,7 +27,7 @@
 class BoundedConnection(BoundedReading):
     """Protocol of one connection, with the limits of its server.
 
-    Adds limits of the memory of all connections together.
+    Adds limits of time and of the memory of all connections together.
 
     Parameters
     ----------
@@ -42,6 +42,7 @@
     """
 
     __slots__ = (
+        '_head_begun_at',
         '_held_bytes',
         '_quiet_since',
     )
@@ -58,6 +59,7 @@
         super().__init__(manager, queue, loop=loop, **options)
         self._held_bytes = 0
         self._quiet_since = loop.time()
+        self._head_begun_at: float | None = None
 
     @property
     def awaits_request(self) -> bool:
@@ -94,8 +96,26 @@
         self._server.change_held(-self._held_bytes)
         self._held_bytes = 0
 
+    def enforce(self, now: float, checked_at: float) -> None:
+        """End the connection if it has exceeded a time limit.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        checked_at : float
+            Time of the previous check. A limit must have been exceeded then,
+            so that bytes which arrived since have been read.
+        """
+        self._check_reading(now, checked_at)
+
     def _read(self, parse: Callable[[bytes], None], *, new_data: bool) -> None:
         super()._read(parse, new_data=new_data)
+        framing = self._framing
+        if not framing.head_bytes or framing.body is not None:
+            self._head_begun_at = None
+        elif self._head_begun_at is None:
+            self._head_begun_at = self._loop.time()
         if self._update_held() and self._server.memory_is_exhausted:
             self._release_memory()
 
@@ -130,6 +150,27 @@
             self.reject(RequestsOverMemoryError())
             self._update_held()
 
+    def _check_reading(self, now: float, checked_at: float) -> None:
+        """End the connection if a head or a request is overdue."""
+        limits = self._server.limits
+        if self._buffer_paused or self._reading_paused:
+            # The rest of the head may have arrived.
+            self._head_begun_at = self._head_begun_at and now
+        elif _exceeds(self._head_begun_at, limits.head_timeout_s, checked_at):
+            self._head_begun_at = None
+            self.reject(HeadTimeoutError())
+            self._update_held()
+        elif self._is_idle and _exceeds(
+            self._quiet_since, limits.idle_timeout_s, checked_at
+        ):
+            self.force_close()
+
+    @property
+    def _is_idle(self) -> bool:
+        """Whether no request has begun to arrive."""
+        begun = self._framing or self._framing.head_bytes
+        return self.awaits_request and not begun
+
     async def _handle_request(
         self, request: web.BaseRequest, *arguments: Any
     ) -> tuple[web.StreamResponse, bool]:
@@ -139,3 +180,16 @@
             self._quiet_since = self._loop.time()
             self._queue.release_taken()
             self._update_held()
+
+    def _process_keepalive(self) -> None:
+        """Leave idle connections to `enforce`."""
+        self._keepalive_handle = None
+
+
+def _exceeds(
+    begun_at: float | None, timeout_s: float, checked_at: float
+) -> bool:
+    """Whether something took longer than a limit; 0 for no limit."""
+    if begun_at is None or not timeout_s:
+        return False
+    return begun_at + timeout_s < checked_at
--- a/lycheespar/http_limits/limits.py
+++ b/lycheespar/http_limits/limits.py
@@ -13,10 +13,16 @@
     head_bytes : int
         Largest size of the head of a request in bytes, and of the empty lines
         before it, its trailers and the sizes of its chunks.
+    head_timeout_s : float
+        Longest time in seconds for receiving a head once it has begun.
+    idle_timeout_s : float
+        Time in seconds after which an idle connection is closed.
     held_bytes : int
         Memory in bytes that unfinished and waiting requests may use on all
         connections together.
     """
 
     head_bytes: int = 16 * 1024
+    head_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
     held_bytes: int = 4 * 1024 * 1024
--- a/lycheespar/http_limits/server.py
+++ b/lycheespar/http_limits/server.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import heapq
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, Final
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 
 from lycheespar.errors import RequestError
 from lycheespar.http_limits.connection import BoundedConnection
@@ -17,6 +19,8 @@
 from lycheespar.telemetry.event_log import events
 from lycheespar.telemetry.limit_events import ConnectionRejected
 
+# Time in seconds between two checks of the time limits.
+CHECK_INTERVAL_S: Final = 1
 # Heads that need less memory than this are always kept.
 SMALL_HEAD_BYTES: Final = 16 * 1024
 # Share of the connections that are closed together to make room.
@@ -53,6 +57,8 @@
         self.rejected: Counter[str] = Counter()
         self._held_bytes = 0
         self._lines = LineBudget(self._loop.time())
+        self._check: asyncio.TimerHandle | None = None
+        self._checked_at = self._loop.time()
 
     def __call__(self) -> BoundedConnection:
         """Return the protocol of a new connection."""
@@ -111,6 +117,15 @@
         """Charge lines of bodies; return for how many seconds to pause."""
         return self._lines.spend(lines, self._loop.time())
 
+    def connection_made(
+        self, handler: RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Add a connection."""
+        super().connection_made(handler, transport)
+        if self._check is None:
+            self._checked_at = self._loop.time()
+            self._schedule_check()
+
     def release_unfinished(self) -> None:
         """Close the quietest connections with a request that is not whole."""
         unfinished = (
@@ -135,6 +150,21 @@
             if isinstance(connection, BoundedConnection)
         )
 
+    def _schedule_check(self) -> None:
+        self._check = self._loop.call_later(
+            CHECK_INTERVAL_S, self._check_connections
+        )
+
+    def _check_connections(self) -> None:
+        """End the connections that have exceeded a time limit."""
+        self._check = None
+        now = self._loop.time()
+        for connection in self._bounded_connections():
+            connection.enforce(now, self._checked_at)
+        self._checked_at = now
+        if self._connections:
+            self._schedule_check()
+
 
 def _quiet_since(connection: BoundedConnection) -> tuple[bool, float]:
     return connection.quiet_since
--- a/lycheespar/ingress/limits.py
+++ b/lycheespar/ingress/limits.py
@@ -13,6 +13,8 @@
     """Return the limits that apply where the configuration names none."""
     return RequestLimits(
         head_bytes=settings.max_head_bytes,
+        head_timeout_s=settings.head_timeout_s,
+        idle_timeout_s=settings.idle_timeout_s,
         held_bytes=settings.max_request_memory,
     )
 
@@ -32,4 +34,6 @@
     return msgspec.structs.replace(
         default,
         head_bytes=configured.max_header_bytes or default.head_bytes,
+        head_timeout_s=configured.header_timeout_s or default.head_timeout_s,
+        idle_timeout_s=configured.idle_timeout_s or default.idle_timeout_s,
     )
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -32,9 +32,9 @@
 POLL_INTERVAL_S: Final = 0.02
 # Time in seconds for writing the last answers before connections are closed.
 SHUTDOWN_TIMEOUT_S: Final = 1
-KEEPALIVE_TIMEOUT_S: Final = 75
 DEFAULT_LIMITS: Final = RequestLimits(
     head_bytes=64 * 1024,
+    head_timeout_s=30,
     held_bytes=32 * 1024 * 1024,
 )
 
@@ -92,7 +92,6 @@
             handler_cancellation=True,
             auto_decompress=False,
             lingering_time=0,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             access_log=None,
         )
         call_builder.configuration.changes.subscribe(
--- a/lycheespar/settings/definitions.py
+++ b/lycheespar/settings/definitions.py
@@ -126,6 +126,18 @@
         64 * 1024,
         low=1024,
     )
+    head_timeout_s = Number(
+        'Longest time in seconds for receiving the head of a request, if the '
+        'configuration does not limit it.',
+        30,
+        low=0.1,
+    )
+    idle_timeout_s = Number(
+        'Time in seconds after which an idle connection of a caller is closed, '
+        'if the configuration does not limit it.',
+        75,
+        low=0.1,
+    )
     max_request_memory = Integer(
         'Memory in bytes that the heads of unfinished and waiting requests of '
         'all callers may use together.',
