Abort connections whose callers do not take their answers

Callers saw: answers that are never read kept their memory and connection.

A connection that accepts no byte for write_timeout_s is aborted, and earlier if more than max_unsent_bytes wait on stalled connections together.

Evidence: test_an_answer_that_is_not_read_ends_its_connection; on the code before, the connection has no such limit to set, so the test was not run there.

--- a/lycheespar/http_limits/connection.py
+++ b/lycheespar/http_limits/connection.py
@@ -45,6 +45,8 @@
         '_head_begun_at',
         '_held_bytes',
         '_quiet_since',
+        '_stalled_since',
+        '_unsent_bytes',
     )
 
     def __init__(
@@ -60,6 +62,8 @@
         self._held_bytes = 0
         self._quiet_since = loop.time()
         self._head_begun_at: float | None = None
+        self._stalled_since: float | None = None
+        self._unsent_bytes = 0
 
     @property
     def awaits_request(self) -> bool:
@@ -83,6 +87,18 @@
             return self._framing.head_bytes > 0
         return self._broken and not (self._messages or self._current_request)
 
+    @property
+    def stalled_since(self) -> float | None:
+        """When bytes that wait to be sent were accepted last, if any wait."""
+        return self._stalled_since
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait to be sent while writing is paused."""
+        if not self._paused or self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop to read."""
         if self._reading_later is not None:
@@ -108,6 +124,12 @@
             so that bytes which arrived since have been read.
         """
         self._check_reading(now, checked_at)
+        self._check_writing(now)
+
+    def abort(self) -> None:
+        """Close the connection and discard what is not sent."""
+        if self.transport is not None:
+            self.transport.abort()
 
     def _read(self, parse: Callable[[bytes], None], *, new_data: bool) -> None:
         super()._read(parse, new_data=new_data)
@@ -171,6 +193,18 @@
         begun = self._framing or self._framing.head_bytes
         return self.awaits_request and not begun
 
+    def _check_writing(self, now: float) -> None:
+        """Abort the connection if it has accepted no byte for too long."""
+        unsent_bytes = self.unsent_bytes
+        if not unsent_bytes or unsent_bytes != self._unsent_bytes:
+            self._stalled_since = now if unsent_bytes else None
+        elif (
+            self._stalled_since is not None
+            and self._stalled_since + self._server.limits.write_timeout_s < now
+        ):
+            self.abort()
+        self._unsent_bytes = unsent_bytes
+
     async def _handle_request(
         self, request: web.BaseRequest, *arguments: Any
     ) -> tuple[web.StreamResponse, bool]:
--- a/lycheespar/http_limits/limits.py
+++ b/lycheespar/http_limits/limits.py
@@ -17,12 +17,19 @@
         Longest time in seconds for receiving a head once it has begun.
     idle_timeout_s : float
         Time in seconds after which an idle connection is closed.
+    write_timeout_s : float
+        Time in seconds after which a connection is aborted that accepts none
+        of the bytes that wait to be sent.
     held_bytes : int
         Memory in bytes that unfinished and waiting requests may use on all
         connections together.
+    unsent_bytes : int
+        Bytes of answers that may wait on stalled connections together.
     """
 
     head_bytes: int = 16 * 1024
     head_timeout_s: float = 10.0
     idle_timeout_s: float = 75.0
+    write_timeout_s: float = 30.0
     held_bytes: int = 4 * 1024 * 1024
+    unsent_bytes: int = 16 * 1024 * 1024
--- a/lycheespar/http_limits/server.py
+++ b/lycheespar/http_limits/server.py
@@ -159,12 +159,23 @@
         """End the connections that have exceeded a time limit."""
         self._check = None
         now = self._loop.time()
+        unsent_bytes = 0
         for connection in self._bounded_connections():
             connection.enforce(now, self._checked_at)
+            unsent_bytes += connection.unsent_bytes
+        if unsent_bytes > self.limits.unsent_bytes:
+            self._abort_stalled(now - 2 * CHECK_INTERVAL_S)
         self._checked_at = now
         if self._connections:
             self._schedule_check()
 
+    def _abort_stalled(self, since: float) -> None:
+        """Abort all connections that have accepted no byte since a time."""
+        for connection in self._bounded_connections():
+            stalled_since = connection.stalled_since
+            if stalled_since is not None and stalled_since < since:
+                connection.abort()
+
 
 def _quiet_since(connection: BoundedConnection) -> tuple[bool, float]:
     return connection.quiet_since
--- a/lycheespar/ingress/limits.py
+++ b/lycheespar/ingress/limits.py
@@ -15,7 +15,9 @@
         head_bytes=settings.max_head_bytes,
         head_timeout_s=settings.head_timeout_s,
         idle_timeout_s=settings.idle_timeout_s,
+        write_timeout_s=settings.write_timeout_s,
         held_bytes=settings.max_request_memory,
+        unsent_bytes=settings.max_unsent_bytes,
     )
 
 
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -36,6 +36,7 @@
     head_bytes=64 * 1024,
     head_timeout_s=30,
     held_bytes=32 * 1024 * 1024,
+    unsent_bytes=32 * 1024 * 1024,
 )
 
 
--- a/lycheespar/settings/definitions.py
+++ b/lycheespar/settings/definitions.py
@@ -138,12 +138,24 @@
         75,
         low=0.1,
     )
+    write_timeout_s = Number(
+        "Time in seconds after which a caller's connection is aborted that "
+        'accepts no byte of an answer.',
+        30,
+        low=1,
+    )
     max_request_memory = Integer(
         'Memory in bytes that the heads of unfinished and waiting requests of '
         'all callers may use together.',
         32 * 1024 * 1024,
         low=1024 * 1024,
     )
+    max_unsent_bytes = Integer(
+        'Bytes of answers that may wait on connections whose callers do not '
+        'read.',
+        32 * 1024 * 1024,
+        low=1024 * 1024,
+    )
 
     def contradictions(self) -> Iterator[str]:
         """Yield contradictions between keys whose values are valid."""
--- a/lycheespar/tests/http_limits/timeouts_tests.py
+++ b/lycheespar/tests/http_limits/timeouts_tests.py
@@ -1,4 +1,4 @@
-"""Connections that are slow, silent or idle."""
+"""Connections that are slow, silent, idle or stalled."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from lycheespar.configuration.routes import CallerLimits
 from lycheespar.configuration.view import ConfigurationView
 from lycheespar.http_limits import server as server_module
+from lycheespar.http_limits.limits import RequestLimits
 from lycheespar.tests.http_limits.clients import (
     caller_of,
     configuration,
@@ -123,3 +124,19 @@
         dispatch.release('/get/0')
         statuses = {(await caller.receive())[0] for _ in range(count)}
         assert statuses == {200}
+
+
+async def test_an_answer_that_is_not_read_ends_its_connection():
+    """It kept its memory and its connection for ever."""
+    dispatch = _released()
+    dispatch.bodies['/get/0'] = b'x' * 20_000_000
+    limits = RequestLimits(write_timeout_s=0.2)
+    server = new_server(dispatch=dispatch, limits_of_port=limits)
+    async with serving(server), caller_of(server) as caller:
+        caller.writer.transport.pause_reading()
+        caller.writer.write(HEAD + b'\r\n')
+        async with asyncio.timeout(10):
+            while not server._server.connections:
+                await asyncio.sleep(0.01)
+            while server._server.connections:
+                await asyncio.sleep(0.01)
