Bound the connections of callers

Callers saw: connections that say nothing could take all descriptors, so that nobody else could connect and no target could be reached.

Beyond max_connections, by default half of the descriptors and at most 2048, the quietest connections without a request in progress are closed, first those that never had a whole request. If all are busy, the new one is closed.

--- a/lycheespar/http_limits/connection.py
+++ b/lycheespar/http_limits/connection.py
@@ -80,6 +80,11 @@
         """
         return self._request_count > 0, self._quiet_since
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection is about to be closed."""
+        return self._force_close or self.transport is None
+
     @property
     def is_unfinished(self) -> bool:
         """Whether a part of a request was received, or bytes that are none."""
--- a/lycheespar/http_limits/limits.py
+++ b/lycheespar/http_limits/limits.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
+import resource
+from typing import Final
+
 import msgspec
 
+# Most connections of callers, whatever the limit on descriptors is.
+MAX_CONNECTIONS: Final = 2048
+# Share of the descriptors of a process. The rest is for targets, channels and
+# files.
+_CALLERS_SHARE: Final = 2
+
 
 class RequestLimits(msgspec.Struct, frozen=True):
     """Limits of one HTTP server.
@@ -20,6 +29,8 @@
     write_timeout_s : float
         Time in seconds after which a connection is aborted that accepts none
         of the bytes that wait to be sent.
+    connections : int
+        Most open connections.
     held_bytes : int
         Memory in bytes that unfinished and waiting requests may use on all
         connections together.
@@ -31,5 +42,19 @@
     head_timeout_s: float = 10.0
     idle_timeout_s: float = 75.0
     write_timeout_s: float = 30.0
+    connections: int = 128
     held_bytes: int = 4 * 1024 * 1024
     unsent_bytes: int = 16 * 1024 * 1024
+
+
+def default_connections() -> int:
+    """Return how many connections of callers the process may have open."""
+    return min(_descriptors() // _CALLERS_SHARE, MAX_CONNECTIONS)
+
+
+def _descriptors() -> int:
+    """Return how many descriptors the process may have open."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return MAX_CONNECTIONS * _CALLERS_SHARE
+    return max(descriptors, _CALLERS_SHARE)
--- a/lycheespar/http_limits/server.py
+++ b/lycheespar/http_limits/server.py
@@ -120,8 +120,10 @@
     def connection_made(
         self, handler: RequestHandler, transport: asyncio.Transport
     ) -> None:
-        """Add a connection."""
+        """Add a connection; close others if there are too many."""
         super().connection_made(handler, transport)
+        if len(self._connections) > self.limits.connections:
+            self._make_room(handler)
         if self._check is None:
             self._checked_at = self._loop.time()
             self._schedule_check()
@@ -135,9 +137,26 @@
         )
         self._close_quietest(unfinished)
 
+    def _make_room(self, newest: RequestHandler) -> None:
+        """Close the quietest connections without a request in progress."""
+        open_connections = [
+            connection
+            for connection in self._bounded_connections()
+            if not connection.is_closing
+        ]
+        if len(open_connections) <= self.limits.connections:
+            return
+        self.rejected['connections_over_limit'] += 1
+        events.write(
+            ConnectionRejected('connections_over_limit', len(open_connections))
+        )
+        waiting = (found for found in open_connections if found.awaits_request)
+        if not self._close_quietest(waiting):
+            newest.force_close()
+
     def _close_quietest(self, candidates: Iterator[BoundedConnection]) -> int:
         """Close some of the connections; return how many were closed."""
-        count = max(int(len(self._connections) * RELEASED_SHARE), 1)
+        count = max(int(self.limits.connections * RELEASED_SHARE), 1)
         closed = heapq.nsmallest(count, candidates, key=_quiet_since)
         for connection in closed:
             connection.force_close()
--- a/lycheespar/ingress/limits.py
+++ b/lycheespar/ingress/limits.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from lycheespar.configuration.routes import CallerLimits
-from lycheespar.http_limits.limits import RequestLimits
+from lycheespar.http_limits.limits import RequestLimits, default_connections
 from lycheespar.settings.definitions import NodeSettings
 
 
@@ -16,6 +16,7 @@
         head_timeout_s=settings.head_timeout_s,
         idle_timeout_s=settings.idle_timeout_s,
         write_timeout_s=settings.write_timeout_s,
+        connections=settings.max_connections or default_connections(),
         held_bytes=settings.max_request_memory,
         unsent_bytes=settings.max_unsent_bytes,
     )
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -11,7 +11,7 @@
 
 from lycheespar.call import Answer, Dispatch
 from lycheespar.errors import InternalRequestError, Outcome, RequestError
-from lycheespar.http_limits.limits import RequestLimits
+from lycheespar.http_limits.limits import RequestLimits, default_connections
 from lycheespar.ingress.answers import problem_response, send_answer
 from lycheespar.ingress.body import CallerBody
 from lycheespar.ingress.call_builder import CallBuilder
@@ -35,6 +35,7 @@
 DEFAULT_LIMITS: Final = RequestLimits(
     head_bytes=64 * 1024,
     head_timeout_s=30,
+    connections=default_connections(),
     held_bytes=32 * 1024 * 1024,
     unsent_bytes=32 * 1024 * 1024,
 )
--- a/lycheespar/settings/definitions.py
+++ b/lycheespar/settings/definitions.py
@@ -144,6 +144,12 @@
         30,
         low=1,
     )
+    max_connections = Integer(
+        'Most open connections of callers; 0 for half of the descriptors of '
+        'the process, but at most 2048. Beyond it, those are closed that have '
+        'been without a request for the longest time.',
+        0,
+    )
     max_request_memory = Integer(
         'Memory in bytes that the heads of unfinished and waiting requests of '
         'all callers may use together.',
--- a/lycheespar/telemetry/limit_events.py
+++ b/lycheespar/telemetry/limit_events.py
@@ -13,7 +13,8 @@
     Attributes
     ----------
     code : str
-        Code of the error.
+        Code of the error; ``connections_over_limit`` if idle connections were
+        closed to make room for new ones.
     connections : int
         Open connections of the port.
     """
