Limits for all other HTTP ports

Operators saw: a head without end at the readiness port of a node or at the port of a control host took a gigabyte.

Cause: only the port for callers was looked after. The servers for readiness, heartbeats, announcements, metrics and operators now have the same limits, for heads, connections, time and memory. Bodies that are handled once they are whole count too; the oldest unfinished ones give way. The body of an order was copied again for each part of it; it is joined once.

--- a/lycheespar/control/api/api.py
+++ b/lycheespar/control/api/api.py
@@ -19,6 +19,7 @@
     ControlError,
     RequestInvalidError,
 )
+from lycheespar.http_limits.server import BoundedAppRunner
 from lycheespar.settings.options import Address
 
 log = logger.bind(part='control')
@@ -63,7 +64,7 @@
                 web.post('/v1/changes', self._post_change),
             )
         )
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = BoundedAppRunner(app, access_log=None)
 
     async def start(self, address: Address) -> None:
         """Listen on an address."""
--- a/lycheespar/http_limits/connection.py
+++ b/lycheespar/http_limits/connection.py
@@ -20,6 +20,8 @@
 FAIR_BYTES: Final = 64 * 1024
 # Memory of a body that is received faster than it is read.
 BODY_BYTES: Final = 2 * DEFAULT_CHUNK_SIZE
+# Times that the text of a body is kept which is received whole.
+BODY_COPIES: Final = 2
 # Memory that the parser needs for a byte of an unfinished head.
 _PARSER_BYTES: Final = 4
 
@@ -42,6 +44,8 @@
     """
 
     __slots__ = (
+        '_body_begun_at',
+        '_body_bytes',
         '_head_begun_at',
         '_held_bytes',
         '_quiet_since',
@@ -62,6 +66,8 @@
         self._held_bytes = 0
         self._quiet_since = loop.time()
         self._head_begun_at: float | None = None
+        self._body_begun_at: float | None = None
+        self._body_bytes = 0
         self._stalled_since: float | None = None
         self._unsent_bytes = 0
 
@@ -90,7 +96,9 @@
         """Whether a part of a request was received, or bytes that are none."""
         if self.awaits_request:
             return self._framing.head_bytes > 0
-        return self._broken and not (self._messages or self._current_request)
+        if self._broken and not (self._messages or self._current_request):
+            return True
+        return self._whole_bodies and self._framing.body is not None
 
     @property
     def stalled_since(self) -> float | None:
@@ -139,6 +147,12 @@
     def _read(self, parse: Callable[[bytes], None], *, new_data: bool) -> None:
         super()._read(parse, new_data=new_data)
         framing = self._framing
+        if framing.body is None:
+            self._body_begun_at = None
+        elif self._whole_bodies:
+            self._body_bytes = framing.body.total_bytes * BODY_COPIES
+            if self._body_begun_at is None:
+                self._body_begun_at = self._loop.time()
         if not framing.head_bytes or framing.body is not None:
             self._head_begun_at = None
         elif self._head_begun_at is None:
@@ -159,6 +173,7 @@
             len(framing)
             + framing.head_bytes * _PARSER_BYTES
             + self._queue.held_bytes
+            + self._body_bytes
         )
         if self._reading_paused:
             held_bytes += BODY_BYTES
@@ -178,7 +193,7 @@
             self._update_held()
 
     def _check_reading(self, now: float, checked_at: float) -> None:
-        """End the connection if a head or a request is overdue."""
+        """End the connection if a head, a body or a request is overdue."""
         limits = self._server.limits
         if self._buffer_paused or self._reading_paused:
             # The rest of the head may have arrived.
@@ -187,6 +202,8 @@
             self._head_begun_at = None
             self.reject(HeadTimeoutError())
             self._update_held()
+        elif _exceeds(self._body_begun_at, limits.body_timeout_s, checked_at):
+            self.abort()
         elif self._is_idle and _exceeds(
             self._quiet_since, limits.idle_timeout_s, checked_at
         ):
@@ -198,6 +215,11 @@
         begun = self._framing or self._framing.head_bytes
         return self.awaits_request and not begun
 
+    @property
+    def _whole_bodies(self) -> bool:
+        """Whether requests are handled once they are received whole."""
+        return self._server.limits.body_timeout_s > 0
+
     def _check_writing(self, now: float) -> None:
         """Abort the connection if it has accepted no byte for too long."""
         unsent_bytes = self.unsent_bytes
@@ -217,6 +239,7 @@
             return await super()._handle_request(request, *arguments)
         finally:
             self._quiet_since = self._loop.time()
+            self._body_bytes = 0
             self._queue.release_taken()
             self._update_held()
 
--- a/lycheespar/http_limits/limits.py
+++ b/lycheespar/http_limits/limits.py
@@ -7,11 +7,14 @@
 
 import msgspec
 
-# Most connections of callers, whatever the limit on descriptors is.
+# Most connections of callers and of any other port, whatever the limit on
+# descriptors is.
 MAX_CONNECTIONS: Final = 2048
-# Share of the descriptors of a process. The rest is for targets, channels and
+MAX_PORT_CONNECTIONS: Final = 128
+# Shares of the descriptors of a process. The rest is for targets, channels and
 # files.
 _CALLERS_SHARE: Final = 2
+_PORT_SHARE: Final = 16
 
 
 class RequestLimits(msgspec.Struct, frozen=True):
@@ -26,6 +29,9 @@
         Longest time in seconds for receiving a head once it has begun.
     idle_timeout_s : float
         Time in seconds after which an idle connection is closed.
+    body_timeout_s : float
+        Longest time in seconds for receiving a body, if requests are handled
+        once they are received whole; 0 if bodies are streamed.
     write_timeout_s : float
         Time in seconds after which a connection is aborted that accepts none
         of the bytes that wait to be sent.
@@ -41,8 +47,9 @@
     head_bytes: int = 16 * 1024
     head_timeout_s: float = 10.0
     idle_timeout_s: float = 75.0
+    body_timeout_s: float = 60.0
     write_timeout_s: float = 30.0
-    connections: int = 128
+    connections: int = MAX_PORT_CONNECTIONS
     held_bytes: int = 4 * 1024 * 1024
     unsent_bytes: int = 16 * 1024 * 1024
 
@@ -52,9 +59,21 @@
     return min(_descriptors() // _CALLERS_SHARE, MAX_CONNECTIONS)
 
 
+def port_limits(held_bytes: int = 4 * 1024 * 1024) -> RequestLimits:
+    """Return the limits of a port that is not for callers.
+
+    Parameters
+    ----------
+    held_bytes : int
+        Memory in bytes that unfinished and waiting requests may use.
+    """
+    connections = min(_descriptors() // _PORT_SHARE, MAX_PORT_CONNECTIONS)
+    return RequestLimits(connections=connections, held_bytes=held_bytes)
+
+
 def _descriptors() -> int:
     """Return how many descriptors the process may have open."""
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if descriptors == resource.RLIM_INFINITY:
         return MAX_CONNECTIONS * _CALLERS_SHARE
-    return max(descriptors, _CALLERS_SHARE)
+    return max(descriptors, _PORT_SHARE)
--- a/lycheespar/http_limits/server.py
+++ b/lycheespar/http_limits/server.py
@@ -14,7 +14,7 @@
 from lycheespar.errors import RequestError
 from lycheespar.http_limits.connection import BoundedConnection
 from lycheespar.http_limits.head_queue import HeadQueue
-from lycheespar.http_limits.limits import RequestLimits
+from lycheespar.http_limits.limits import RequestLimits, port_limits
 from lycheespar.line_budget import LineBudget
 from lycheespar.telemetry.event_log import events
 from lycheespar.telemetry.limit_events import ConnectionRejected
@@ -150,7 +150,11 @@
         events.write(
             ConnectionRejected('connections_over_limit', len(open_connections))
         )
-        waiting = (found for found in open_connections if found.awaits_request)
+        waiting = (
+            connection
+            for connection in open_connections
+            if connection.awaits_request or connection.is_unfinished
+        )
         if not self._close_quietest(waiting):
             newest.force_close()
 
@@ -196,5 +200,20 @@
                 connection.abort()
 
 
+class BoundedAppRunner(web.AppRunner):
+    """Runs an application on a server with limits."""
+
+    async def _make_server(self) -> web.Server:
+        await super()._make_server()
+        app = self.app
+        handler: Any = app._handle  # noqa: SLF001
+        return BoundedServer(
+            handler,
+            port_limits(),
+            request_factory=app._make_request,  # noqa: SLF001
+            **self._kwargs,
+        )
+
+
 def _quiet_since(connection: BoundedConnection) -> tuple[bool, float]:
     return connection.quiet_since
--- a/lycheespar/ingress/limits.py
+++ b/lycheespar/ingress/limits.py
@@ -15,6 +15,7 @@
         head_bytes=settings.max_head_bytes,
         head_timeout_s=settings.head_timeout_s,
         idle_timeout_s=settings.idle_timeout_s,
+        body_timeout_s=0,
         write_timeout_s=settings.write_timeout_s,
         connections=settings.max_connections or default_connections(),
         held_bytes=settings.max_request_memory,
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -35,6 +35,7 @@
 DEFAULT_LIMITS: Final = RequestLimits(
     head_bytes=64 * 1024,
     head_timeout_s=30,
+    body_timeout_s=0,
     connections=default_connections(),
     held_bytes=32 * 1024 * 1024,
     unsent_bytes=32 * 1024 * 1024,
--- a/lycheespar/platform/heartbeats.py
+++ b/lycheespar/platform/heartbeats.py
@@ -16,6 +16,8 @@
     Slots,
     decode,
 )
+from lycheespar.http_limits.limits import port_limits
+from lycheespar.http_limits.server import BoundedServer
 from lycheespar.platform.formats import MS_PER_S, parse_s
 from lycheespar.platform.rpc import is_rpc_call, rpc_response
 from lycheespar.settings.options import Address
@@ -147,7 +149,9 @@
         self._lease_s = interval_s * LEASE_HEARTBEATS
         self._last_reports: dict[str, _LastReport] = {}
         self._latest_start_ms = 0
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._runner = web.ServerRunner(
+            BoundedServer(self._handle, port_limits())
+        )
 
     async def start(self, address: Address) -> None:
         """Listen on an address."""
--- a/lycheespar/platform/operators.py
+++ b/lycheespar/platform/operators.py
@@ -23,6 +23,8 @@
     RequestInvalidError,
     UnknownNameError,
 )
+from lycheespar.http_limits.limits import port_limits
+from lycheespar.http_limits.server import BoundedServer
 from lycheespar.platform.documents import (
     decode_patch,
     decode_put,
@@ -54,7 +56,11 @@
     def __init__(self, host: ControlHost) -> None:
         """Create a stopped server; `start` opens the port."""
         self._control_group = host.group
-        server = web.Server(self._handle, handler_cancellation=True)
+        server = BoundedServer(
+            self._handle,
+            port_limits(2 * MAX_BODY_BYTES),
+            handler_cancellation=True,
+        )
         self._runner = web.ServerRunner(server)
 
     async def start(self, address: Address) -> None:
@@ -91,9 +97,7 @@
             )
         if call == 'rollouts.get':
             return await self._get_rollout(request.query.get('of', ''))
-        body = await request.content.read(MAX_BODY_BYTES)
-        while not request.content.at_eof() and len(body) < MAX_BODY_BYTES:
-            body += await request.content.read(MAX_BODY_BYTES)
+        body = await _read_body(request)
         change = _decode_change(call, request.query.get('of', ''), body)
         command = Command(
             _change_id(call, body, change),
@@ -119,6 +123,18 @@
         )
 
 
+async def _read_body(request: web.BaseRequest) -> bytes:
+    """Return the body of a request, but not much more than the limit."""
+    chunks: list[bytes] = []
+    length = 0
+    async for chunk in request.content.iter_any():
+        chunks.append(chunk)
+        length += len(chunk)
+        if length >= MAX_BODY_BYTES:
+            break
+    return b''.join(chunks)
+
+
 def _decode_change(call: str, data_centre: str, body: bytes) -> Change:
     """Decode the change that a call requests.
 
--- a/lycheespar/platform/readiness.py
+++ b/lycheespar/platform/readiness.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from lycheespar.http_limits.limits import port_limits
+from lycheespar.http_limits.server import BoundedServer
 from lycheespar.settings.options import Address
 
 READY_PATH: Final = '/api/ready'
@@ -24,7 +26,9 @@
     def __init__(self, is_ready: Callable[[], bool]) -> None:
         """Create a stopped server; `start` opens the port."""
         self._is_ready = is_ready
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._runner = web.ServerRunner(
+            BoundedServer(self._handle, port_limits())
+        )
 
     async def start(self, address: Address) -> None:
         """Listen on an address."""
--- a/lycheespar/targets/api.py
+++ b/lycheespar/targets/api.py
@@ -7,6 +7,8 @@
 from loguru import logger
 
 from lycheespar.decoding import decode
+from lycheespar.http_limits.limits import port_limits
+from lycheespar.http_limits.server import BoundedServer
 from lycheespar.settings.options import Address, InvalidOptionError
 from lycheespar.targets.announcement import (
     Announcement,
@@ -36,7 +38,9 @@
     def __init__(self, target: LocalTarget) -> None:
         """Create a stopped server; `start` opens the port."""
         self._target = target
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._runner = web.ServerRunner(
+            BoundedServer(self._handle, port_limits())
+        )
 
     async def start(self, address: Address) -> None:
         """Open the port."""
--- a/lycheespar/telemetry/exposition.py
+++ b/lycheespar/telemetry/exposition.py
@@ -16,6 +16,8 @@
     Metric,
 )
 
+from lycheespar.http_limits.limits import port_limits
+from lycheespar.http_limits.server import BoundedServer
 from lycheespar.settings.options import Address
 from lycheespar.telemetry.metrics import (
     BUCKETS_MS,
@@ -71,7 +73,9 @@
         """Create a stopped server; `start` opens the port."""
         self._registry = CollectorRegistry(auto_describe=False)
         self._registry.register(_Collector(metrics))
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._runner = web.ServerRunner(
+            BoundedServer(self._handle, port_limits())
+        )
 
     async def start(self, address: Address) -> None:
         """Listen on an address.
