--- a/lycheespar/control/api/api.py
+++ b/lycheespar/control/api/api.py
@@ -21,6 +21,7 @@
     ControlError,
     RequestInvalidError,
 )
+from lycheespar.http_limits.server import BoundedAppRunner
 from lycheespar.settings.options import Address
 
 # Largest body of a change, and all bodies that are being received, in bytes.
@@ -70,7 +71,7 @@
                 web.post('/v1/changes', self._post_change),
             )
         )
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = BoundedAppRunner(app, access_log=None)
 
     async def start(self, address: Address) -> None:
         """Listen on an address."""
--- a/lycheespar/platform/heartbeats.py
+++ b/lycheespar/platform/heartbeats.py
@@ -18,6 +18,8 @@
     decode,
 )
 from lycheespar.errors import BodyTooLargeError
+from lycheespar.http_limits.limits import port_limits
+from lycheespar.http_limits.server import BoundedServer
 from lycheespar.platform.formats import MS_PER_S, parse_s
 from lycheespar.platform.rpc import is_rpc_call, rpc_response
 from lycheespar.settings.options import Address
@@ -156,7 +158,9 @@
         self._last_reports: dict[str, _LastReport] = {}
         self._latest_start_ms = 0
         self._bodies = BodyReader(MAX_BODY_BYTES, SHARED_BODY_BYTES)
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._runner = web.ServerRunner(
+            BoundedServer(self._handle, port_limits())
+        )
 
     async def start(self, address: Address) -> None:
         """Listen on an address."""
--- a/lycheespar/platform/operators.py
+++ b/lycheespar/platform/operators.py
@@ -25,6 +25,8 @@
     RequestInvalidError,
     UnknownNameError,
 )
+from lycheespar.http_limits.limits import port_limits
+from lycheespar.http_limits.server import BoundedServer
 from lycheespar.platform.documents import (
     decode_patch,
     decode_put,
@@ -58,7 +60,11 @@
         """Create a stopped server; `start` opens the port."""
         self._control_group = host.group
         self._bodies = BodyReader(MAX_BODY_BYTES, SHARED_BODY_BYTES)
-        server = web.Server(self._handle, handler_cancellation=True)
+        server = BoundedServer(
+            self._handle,
+            port_limits(2 * MAX_BODY_BYTES),
+            handler_cancellation=True,
+        )
         self._runner = web.ServerRunner(server)
 
     async def start(self, address: Address) -> None:
--- a/lycheespar/settings/definitions.py
+++ b/lycheespar/settings/definitions.py
@@ -120,6 +120,48 @@
         1024 * 1024 * 1024,
         low=1,
     )
+    max_head_bytes = Integer(
+        'Largest size of the head of a request, in bytes, if the '
+        'configuration does not limit it.',
+        64 * 1024,
+        low=1024,
+    )
+    head_timeout_s = Number(
+        'Longest time in seconds for receiving the head of a request, if the '
+        'configuration does not limit it.',
+        30,
+        low=0.1,
+    )
+    idle_timeout_s = Number(
+        'Time in seconds after which an idle connection of a caller is closed, '
+        'if the configuration does not limit it.',
+        75,
+        low=0.1,
+    )
+    write_timeout_s = Number(
+        "Time in seconds after which a caller's connection is aborted that "
+        'accepts no byte of an answer.',
+        30,
+        low=1,
+    )
+    max_connections = Integer(
+        'Most open connections of callers; 0 for half of the descriptors of '
+        'the process, but at most 2048. Beyond it, those are closed that have '
+        'been without a request for the longest time.',
+        0,
+    )
+    max_request_memory = Integer(
+        'Memory in bytes that the heads of unfinished and waiting requests of '
+        'all callers may use together.',
+        32 * 1024 * 1024,
+        low=1024 * 1024,
+    )
+    max_unsent_bytes = Integer(
+        'Bytes of answers that may wait on connections whose callers do not '
+        'read.',
+        32 * 1024 * 1024,
+        low=1024 * 1024,
+    )
 
     def contradictions(self) -> Iterator[str]:
         """Yield contradictions between keys whose values are valid."""
--- a/lycheespar/targets/api.py
+++ b/lycheespar/targets/api.py
@@ -11,6 +11,8 @@
 from lycheespar.bodies import BodyReader
 from lycheespar.decoding import decode
 from lycheespar.errors import BodyTooLargeError
+from lycheespar.http_limits.limits import port_limits
+from lycheespar.http_limits.server import BoundedServer
 from lycheespar.settings.options import Address, InvalidOptionError
 from lycheespar.targets.announcement import (
     Announcement,
@@ -45,7 +47,9 @@
         """Create a stopped server; `start` opens the port."""
         self._target = target
         self._bodies = BodyReader(MAX_BODY_BYTES, SHARED_BODY_BYTES)
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._runner = web.ServerRunner(
+            BoundedServer(self._handle, port_limits())
+        )
 
     async def start(self, address: Address) -> None:
         """Open the port."""
