Count the text of a head as often as a request keeps it

The memory of waiting heads was estimated with two copies of their text. The parser, the request, its call and the request to the target keep more, so that 12 heads of 8,092 bytes waited on a connection, and all of them may run early. Eight copies are counted; heads of a usual size still wait in the same number.

--- a/lycheespar/http_limits/head_queue.py
+++ b/lycheespar/http_limits/head_queue.py
@@ -21,7 +21,7 @@
 # Memory in bytes that a field of a head needs beside its text, and how many
 # times the parser and the request keep the text.
 FIELD_BYTES: Final = 512
-TEXT_COPIES: Final = 2
+TEXT_COPIES: Final = 8
 
 
 class HeadQueue(deque[Entry]):
