Control hosts: accept links with a bounded listener in place of a ZeroMQ socket

Cause, by reading and from the assertion: when a connection fails while its messages wait at the high-water mark, libzmq keeps it until they are read, and its heartbeat timer, or a heartbeat among the waiting messages, then writes to it and ends the process. A mark of none would keep messages without a bound. Parts count for the mark only with the last one, so that a message without end is never stopped. Neither the number of connections nor the memory of all together can be limited.

Clients keep their ZeroMQ sockets. Control hosts now accept the links themselves, speak ZMTP 3.1 to them (control/zmtp.py), and share the limits of channels between nodes: handshake within 5 s, 256 connections without one, 1,536 in all (a fleet has 1,500 nodes with one link each), 16 MB of unfinished messages, turns of 16 frames, a pause while replies are not taken. A message has two parts. Above 8,192 requests without a reply, a link with more than 16 waits. A link is closed after 5 s without anything; clients send a heartbeat each 0.5 s. What can't be decoded is ignored, as before, and reported at a limited rate.

The tests of the group, of the followers and of closed links pass unchanged but for the constructor, and for OSError where the port is in use. Heartbeats are now answered by the event loop instead of a thread of ZeroMQ: a control host whose loop stands still for 1.5 s loses its links.

--- a/lycheespar/tests/control/following/soak_tests.py
+++ b/lycheespar/tests/control/following/soak_tests.py
@@ -22,7 +22,7 @@
     ConfigurationFollower,
 )
 from lycheespar.control.following.directory import ControlDirectory
-from lycheespar.control.link import LinkServer
+from lycheespar.control.link_server import LinkServer
 from lycheespar.control.messages import (
     ControlReply,
     ControlRequest,
@@ -139,13 +139,13 @@
     async def _try_to_listen(
         self,
     ) -> LinkServer[ControlRequest, ControlReply] | None:
-        """Open the port; ZeroMQ may still be closing the former socket."""
+        """Open the port, unless another socket still has it."""
         server: LinkServer[ControlRequest, ControlReply] = LinkServer(
-            self._fleet.context, ControlRequest, self._reply
+            ControlRequest, self._reply
         )
         try:
             await server.start(self.address)
-        except zmq.ZMQError:
+        except OSError:
             server.close()
             await asyncio.sleep(POLL_S)
             return None
