Revert "Control hosts: accept links with a bounded listener in place of a ZeroMQ socket"

Heartbeats of links would be answered by the event loop of a control host, on which the log is synced, and no longer by a thread of ZeroMQ: a leader whose disk stalls for 1.5 s would lose its links and the requests on them.

The limit of 12 MB a frame stays.

--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -30,7 +30,7 @@
     build_report,
 )
 from lycheespar.control.claims.claims import ClaimStore
-from lycheespar.control.link_server import LinkServer
+from lycheespar.control.link import LinkServer
 from lycheespar.control.messages import (
     Claim,
     ControlReply,
@@ -120,6 +120,7 @@
         self._replies = ReplyBuilder()
         self._packer = ReplyPacker()
         self._server: LinkServer[HostRequest, HostReply] = LinkServer(
+            context,
             HostRequest,
             self._answer,
         )
--- a/lycheespar/control/link.py
+++ b/lycheespar/control/link.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Awaitable, Callable
 from typing import Any, Final, Generic, TypeVar
 
 import msgspec
@@ -27,6 +28,8 @@
 RECONNECT_MS: Final = 50
 RECONNECT_MAX_MS: Final = 1000
 _SERIAL_BYTES: Final = 8
+# Largest request, in bytes: the state of a group, sent to a new control host.
+MAX_REQUEST_BYTES: Final = 12 * 1024 * 1024
 
 RequestType = TypeVar('RequestType')
 ReplyType = TypeVar('ReplyType')
@@ -171,3 +174,75 @@
                 reply.set_result(self._decoder.decode(payload))
             except (msgspec.DecodeError, RecursionError) as error:
                 log.warning("Can't decode a control host's reply: {}.", error)
+
+
+class LinkServer(Generic[RequestType, ReplyType]):
+    """Server that answers requests from any number of links.
+
+    Parameters
+    ----------
+    context : zmq.asyncio.Context
+        ZeroMQ context of the process.
+    request_type : Any
+        Type, or union of types, of the requests.
+    handle : Callable
+        Coroutine function that returns the reply to a request.
+    """
+
+    def __init__(
+        self,
+        context: zmq.asyncio.Context,
+        request_type: Any,
+        handle: Callable[[RequestType], Awaitable[ReplyType]],
+    ) -> None:
+        """Create a stopped server; `start` opens the port."""
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder: msgspec.msgpack.Decoder[RequestType] = (
+            msgspec.msgpack.Decoder(request_type)
+        )
+        self._handle = handle
+        self._socket = context.socket(zmq.ROUTER)
+        _configure_socket(self._socket)
+        self._socket.set(zmq.MAXMSGSIZE, MAX_REQUEST_BYTES)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._reader: asyncio.Task[None] | None = None
+
+    async def start(self, address: Address) -> None:
+        """Listen on an address."""
+        self._socket.bind(f'tcp://{address}')
+        self._reader = start_background('link reader', self._read)
+
+    def close(self) -> None:
+        """Close the port; pending requests get no reply."""
+        if self._reader is not None:
+            self._reader.cancel()
+        for task in self._tasks:
+            task.cancel()
+        self._socket.close()
+
+    async def _read(self) -> None:
+        while True:
+            frames = await self._socket.recv_multipart()
+            if len(frames) != 3:
+                continue
+            try:
+                request = self._decoder.decode(frames[2])
+            except (msgspec.DecodeError, RecursionError) as error:
+                log.warning("Can't decode a request: {}.", error)
+                continue
+            task = asyncio.create_task(
+                self._handle_and_reply(frames[0], frames[1], request),
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _handle_and_reply(
+        self,
+        sender: bytes,
+        serial: bytes,
+        request: RequestType,
+    ) -> None:
+        reply = await self._handle(request)
+        await self._socket.send_multipart(
+            (sender, serial, self._encoder.encode(reply)),
+        )
