--- a/lycheespar/tests/crowds/ports_tests.py
+++ b/lycheespar/tests/crowds/ports_tests.py
@@ -11,7 +11,12 @@
 from lycheespar.tests.crowds.heads import ENDLESS, LETTERS, SILENT
 from lycheespar.tests.crowds.siege import Ask, besiege
 from standins.platform import Machine
-from standins.small_site import Address, SmallSite
+from standins.small_site import (
+    HEARTBEAT_PATH,
+    PUT_PATH,
+    Address,
+    SmallSite,
+)
 
 pytestmark = pytest.mark.crowd
 
@@ -49,10 +54,8 @@
 
 CHUNK = b'400\r\n' + LETTERS + b'\r\n'
 BODIES = {
-    'announcements': Script(
-        _post('/api/rpc?call=instances.heartbeat&of=i-9'), CHUNK
-    ),
-    'operators': Script(_post('/api/rpc?call=config.put'), CHUNK),
+    'announcements': Script(_post(HEARTBEAT_PATH), CHUNK),
+    'operators': Script(_post(PUT_PATH), CHUNK),
 }
 
 
--- a/standins/small_site.py
+++ b/standins/small_site.py
@@ -19,6 +19,8 @@
 HOST: Final = 'a.example'
 SERVICE: Final = 'records'
 PATH: Final = '/records/x'
+HEARTBEAT_PATH: Final = '/api/rpc?call=instances.heartbeat&of=i-9'
+PUT_PATH: Final = '/api/rpc?call=config.put'
 MAX_HEADER_BYTES: Final = 8192
 MAX_BODY_BYTES: Final = 1024 * 1024
 METRICS_PORT: Final = 9464
