--- a/lycheespar/protocol/connection.py
+++ b/lycheespar/protocol/connection.py
@@ -10,7 +10,6 @@
 
 from lycheespar.errors import BodySequenceError, LycheesparError
 from lycheespar.protocol.body import BodyReceiver, SendWindow, split_chunk
-from lycheespar.protocol.delivery import unacknowledged_bytes
 from lycheespar.protocol.framing import encode_frame
 from lycheespar.protocol.messages import (
     BodyChunk,
@@ -18,7 +17,7 @@
     BodyEnd,
     Message,
 )
-from lycheespar.protocol.sockets import tune_socket
+from lycheespar.protocol.sockets import tune_socket, unsent_bytes
 from lycheespar.streams import close_stream
 from lycheespar.telemetry.unhandled import report_unhandled
 
@@ -91,7 +90,7 @@
             return self.written_bytes
         sock = self._writer.get_extra_info('socket')
         buffered = self._writer.transport.get_write_buffer_size()
-        outstanding = buffered + unacknowledged_bytes(sock.fileno())
+        outstanding = buffered + unsent_bytes(sock)
         # The end of the sending direction counts as one byte in the kernel.
         return self.written_bytes - max(0, outstanding - self._finished)
 
--- a/lycheespar/protocol/delivery.py
+++ b/lycheespar/protocol/delivery.py
@@ -2,15 +2,11 @@
 
 from __future__ import annotations
 
-import fcntl
-import struct
-import termios
 from typing import Final, Protocol
 
 # Bytes that leave in one segment. A message with no more than that before its
 # end does not wait behind other bytes.
 SEGMENT_BYTES: Final = 1400
-_INT: Final = struct.Struct('i')
 
 
 class Traffic(Protocol):
@@ -60,15 +56,3 @@
         if acknowledged < self._end - SEGMENT_BYTES:
             return self._acknowledged > acknowledged
         return self._received > received
-
-
-def unacknowledged_bytes(descriptor: int) -> int:
-    """Return the bytes of a TCP socket that the other host has not confirmed.
-
-    Returns 0 where the system does not tell.
-    """
-    try:
-        reply = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_INT.size))
-    except OSError:
-        return 0
-    return max(0, int(_INT.unpack(reply)[0]))
--- a/lycheespar/protocol/sockets.py
+++ b/lycheespar/protocol/sockets.py
@@ -65,7 +65,7 @@
 def unsent_bytes(sock: socket.socket) -> int:
     """Return how many sent bytes the other end has not acknowledged.
 
-    Returns 0 if the socket is gone.
+    Returns 0 if the socket is gone, or the system does not tell.
     """
     return _read_counter(sock, termios.TIOCOUTQ)
 
--- a/lycheespar/tests/protocol/delivery_tests.py
+++ b/lycheespar/tests/protocol/delivery_tests.py
@@ -7,7 +7,8 @@
 import msgspec
 import pytest
 
-from lycheespar.protocol.delivery import Delivery, unacknowledged_bytes
+from lycheespar.protocol.delivery import Delivery
+from lycheespar.protocol.sockets import unsent_bytes
 
 
 class FakeTraffic(msgspec.Struct):
@@ -50,6 +51,6 @@
 
 def test_a_system_that_does_not_tell_counts_all_as_arrived(tmp_path):
     with (tmp_path / 'file').open('w') as file:
-        assert not unacknowledged_bytes(file.fileno())
+        assert not unsent_bytes(file)
     with socket.socket() as unconnected:
-        assert not unacknowledged_bytes(unconnected.fileno())
+        assert not unsent_bytes(unconnected)
