--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 cd "$(dirname "$0")/../.."
-PYTHONPATH=target/deps:. exec python3 review/8/case.py
+PYTHONPATH=target/deps:. exec python3 review/9/case.py
