Show that an unknown empty address keeps programs from starting

Cause: the settings reader parses every entry of listen_addrs, also those that it does not know, and an empty one ends the start.

--- a/review/site_2.py
+++ b/review/site_2.py
@@ -75,7 +75,17 @@
 
 
 class Machine(platform.Machine):
-    """A machine whose program is started by the command of the deploy file."""
+    """A machine whose program is started by the command of the deploy file.
+
+    Attributes
+    ----------
+    more_addresses : dict[str, str]
+        Further addresses in the settings.
+    """
+
+    def __init__(self, site, number: int, zone: str, role: str) -> None:
+        super().__init__(site, number, zone, role)
+        self.more_addresses: dict[str, str] = {}
 
     def start(self) -> None:
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -106,6 +116,7 @@
     def _settings(self):
         settings = super()._settings()
         settings['platform']['heartbeat_interval'] = '1500ms'
+        settings['network']['listen_addrs'] |= self.more_addresses
         settings['terms'] = {
             'contracts': [
                 'base',
