--- a/review/9/case.py
+++ b/review/9/case.py
@@ -28,10 +28,10 @@
 DEADLINE_MS = 6000
 # RULES.md: no final answer this long after the time-out, in seconds.
 SLACK_S = 0.5
-BODY_BYTES = 1024 * 1024
-PIECE = bytes(16 * 1024)
+BODY_BYTES = 128 * 1024
+PIECE = bytes(8 * 1024)
 # A download takes about so long, in seconds.
-DOWNLOAD_S = 0.5
+DOWNLOAD_S = 0.65
 # Nodes with an upstream each: the crash of one is a share of 0.14.
 NODES = 7
 # The upstream is silent for so long, then it starts again, in seconds.
