Reject answers of targets whose head is not valid HTTP

Callers saw: status 000 as an answer ("HTTP/1.1 0 "), also other statuses below 100 and from 600 on; a body cut to 5 of its 10 bytes behind "Content-Length : 5", with that line passed on; answers of RTSP/1.0, ICE/1.0 and HTTP/2.0; 101 to requests without an upgrade; bodies with other transfer codings, or with the frames of chunks in them; no answer at all, as the connection ended, for a control byte in a field's value.

Cause: aiohttp parses answers leniently, and the connection to the target took each head that the parser accepted. Known names may be followed by a blank, a first field may begin with one, folded lines are joined, and the status is not looked at beyond its three digits.

Change: `answer_head.py` says what a head is (protocol, status, names, values, one framing). `StrictResponseHandler.feed_data` checks the received bytes of each head, interim ones too, against it, so calls and probes are covered by one check and no case is listed by itself. A head that fails ends the request as bytes do that the parser refuses, and closes the connection.

The new error `invalid_answer` (502, may have run) also replaces `target_lost` for bytes that the parser refuses. It is a failure of the target and of its version, but no hint at a crash or a restart: the target is alive, and requests that ran beside the answer must not become suspects when it restarts. The log names the reason, and no longer the bytes that the parser shows.

--- a/lycheespar/admission/executor.py
+++ b/lycheespar/admission/executor.py
@@ -18,6 +18,7 @@
 from lycheespar.errors import (
     DeadlineExceededError,
     DrainingError,
+    InvalidAnswerError,
     OutOfServiceError,
     StaleConfigurationError,
     TargetLostError,
@@ -247,7 +248,7 @@
             self._limiter.record_failure(_now(), self._gate.running)
             self.begin_cold_start()
             raise
-        except TruncatedAnswerError:
+        except (InvalidAnswerError, TruncatedAnswerError):
             self._limiter.record_failure(_now(), self._gate.running)
             raise
         except DeadlineExceededError:
--- a/lycheespar/errors.py
+++ b/lycheespar/errors.py
@@ -396,6 +396,12 @@
     code = 'truncated_answer'
 
 
+class InvalidAnswerError(OutcomeUnknownError):
+    """The target sent bytes that are no valid answer."""
+
+    code = 'invalid_answer'
+
+
 class StillRunningError(OutcomeUnknownError):
     """An earlier attempt with the same idempotency key is still running."""
 
--- a/lycheespar/rollouts/evidence.py
+++ b/lycheespar/rollouts/evidence.py
@@ -11,7 +11,11 @@
 import msgspec
 
 from lycheespar.call import Answer, Call, Load
-from lycheespar.errors import DeadlineExceededError, TargetLostError
+from lycheespar.errors import (
+    DeadlineExceededError,
+    InvalidAnswerError,
+    TargetLostError,
+)
 from lycheespar.targets.announcement import Announcement, LocalTarget
 
 if TYPE_CHECKING:
@@ -172,7 +176,7 @@
             _increment(found.answered, latency_s)
 
     def record_failure(self, route: str) -> None:
-        """Count a call whose connection the target broke."""
+        """Count a call that the target answered with an end or odd bytes."""
         found = self._route(route)
         if found is not None:
             found.failures += 1
@@ -236,7 +240,7 @@
         sent_at = loop.time()
         try:
             answer = await self._client.send(call, load)
-        except TargetLostError:
+        except (InvalidAnswerError, TargetLostError):
             self._counter.record_failure(route)
             raise
         except (DeadlineExceededError, asyncio.CancelledError):
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -12,6 +12,8 @@
 from lycheespar.call import Answer, Body, Call, Headers, Load
 from lycheespar.errors import (
     DeadlineExceededError,
+    InvalidAnswerError,
+    OutcomeUnknownError,
     RequestBodyAbortedError,
     TargetLostError,
     TargetUnavailableError,
@@ -143,6 +145,8 @@
             The connection broke after the call may have been sent.
         TruncatedAnswerError
             The answer ended before its declared length.
+        InvalidAnswerError
+            The bytes received are no answer. The connection has been closed.
         """
         self._active_calls += 1
         try:
@@ -169,17 +173,8 @@
             raise DeadlineExceededError from error
         except aiohttp.ClientConnectorError as error:
             raise TargetUnavailableError(str(error)) from error
-        except aiohttp.ClientPayloadError as error:
-            events.write(
-                AnswerRejected(call.request_id, self._target, str(error)),
-            )
-            raise TruncatedAnswerError(str(error)) from error
         except (aiohttp.ClientError, OSError, TargetLostError) as error:
-            if request_body is not None and request_body.error is not None:
-                raise RequestBodyAbortedError(
-                    str(request_body.error)
-                ) from error
-            raise TargetLostError(str(error)) from error
+            raise self._failure(call, request_body, error) from error
         return Answer(
             response.status,
             remove_hop_by_hop(response.headers.items()),
@@ -234,11 +229,35 @@
         expected = get_header(call.headers, header_name) if header_name else ''
         if expected and response.headers.get(header_name) != expected:
             response.close()
-            reason = 'the answer names another request'
-            events.write(
-                AnswerRejected(call.request_id, self._target, reason),
+            raise self._rejection(
+                call, TargetLostError('the answer names another request')
             )
-            raise TargetLostError(reason)
+
+    def _failure(
+        self,
+        call: Call,
+        request_body: RequestBody | None,
+        error: Exception,
+    ) -> OutcomeUnknownError:
+        """Return the error of a call that was sent but not wholly answered."""
+        if isinstance(error, aiohttp.ClientPayloadError):
+            return self._rejection(call, TruncatedAnswerError(str(error)))
+        if request_body is not None and request_body.error is not None:
+            return RequestBodyAbortedError(str(request_body.error))
+        if isinstance(error, aiohttp.ClientResponseError):
+            # Behind the colon, a parser shows bytes, which may be secret.
+            reason = error.message.partition(':')[0]
+            return self._rejection(call, InvalidAnswerError(reason))
+        return TargetLostError(str(error))
+
+    def _rejection(
+        self, call: Call, error: OutcomeUnknownError
+    ) -> OutcomeUnknownError:
+        """Log that an answer was rejected; return the error to raise."""
+        events.write(
+            AnswerRejected(call.request_id, self._target, error.detail)
+        )
+        return error
 
     def _call_ended(self) -> None:
         self._active_calls -= 1
--- a/lycheespar/targets/connection.py
+++ b/lycheespar/targets/connection.py
@@ -9,8 +9,10 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.http import RawResponseMessage
+from aiohttp.http import HttpProcessingError, RawResponseMessage
 
+from lycheespar.answer_head import MIN_FINAL_STATUS, check_received_head
+from lycheespar.errors import InvalidAnswerError
 from lycheespar.line_budget import LineBudget
 from lycheespar.targets.shedding import NOT_RUN_STATUSES
 from lycheespar.unparsed import UnparsedBytes
@@ -31,7 +33,9 @@
     A connection is not reused after it received bytes beyond a complete answer,
     as they would be read as the answer to the next request. Nor is one on
     which a refusal arrived that does not name its request, as a copy of it
-    would be. A connection on which bytes arrive that form no answer is closed.
+    would be. A connection on which bytes arrive that form no answer is closed;
+    the request ends with an `HttpProcessingError`, as if the parser had refused
+    them.
 
     Parameters
     ----------
@@ -57,6 +61,9 @@
         self._request_id = request_id
         self._sent_id = ''
         self._heads = 0
+        # Bytes received of the head that is awaited.
+        self._received_head = bytearray()
+        self._awaits_head = False
         self._bytes_without_progress = 0
         self._chunked = False
         self._unparsed = UnparsedBytes()
@@ -75,6 +82,8 @@
     def set_response_params(self, **options: Any) -> None:
         """Prepare for the answer to the next request."""
         self._heads = 0
+        self._received_head.clear()
+        self._awaits_head = True
         self._bytes_without_progress = 0
         super().set_response_params(**options)
 
@@ -83,6 +92,8 @@
         self._heads += 1
         head = data[0]
         self._chunked = head.chunked
+        if not self._accepts(head):
+            return
         if head.code in NOT_RUN_STATUSES and not self._is_identified(head):
             self.force_close()
         super().feed_data(data, size)
@@ -138,6 +149,8 @@
         Only lines of a chunked answer count.
         """
         data = self._unparsed.take(MAX_PIECE_BYTES)
+        if self._awaits_head:
+            self._received_head += data
         before = self._progress()
         ResponseHandler.data_received(self, data)
         if self._progress() == before:
@@ -146,9 +159,25 @@
             self._bytes_without_progress = 0
         endless = self._bytes_without_progress > MAX_BYTES_WITHOUT_PROGRESS
         if endless or self._heads > MAX_HEADS:
-            self._reject()
+            self._reject('endless bytes that are no answer')
         return data.count(_LINE_END) if self._chunked else 0
 
+    def _accepts(self, head: RawResponseMessage) -> bool:
+        """Whether a head belongs to a valid answer to the current request."""
+        if not self._awaits_head:
+            self.force_close()
+            return False
+        try:
+            length = check_received_head(self._received_head, head)
+        except InvalidAnswerError as error:
+            self._reject(error.detail)
+            return False
+        self._awaits_head = head.code < MIN_FINAL_STATUS
+        self._received_head = (
+            self._received_head[length:] if self._awaits_head else bytearray()
+        )
+        return True
+
     def _is_identified(self, head: RawResponseMessage) -> bool:
         """Whether a head names the request that it answers."""
         return bool(self._request_id) and self._request_id in head.headers
@@ -158,11 +187,19 @@
         body = self._payload
         return self._heads, 0 if body is None else body.total_bytes
 
-    def _reject(self) -> None:
-        reason = 'endless bytes that are no answer'
+    def _reject(self, reason: str) -> None:
+        """Fail the answer that is awaited or received, and end the connection.
+
+        Parameters
+        ----------
+        reason : str
+            Why the received bytes are no answer.
+        """
+        self._awaits_head = False
+        self._received_head.clear()
         self._unparsed.clear()
         _fail(self._payload, reason)
-        self.set_exception(aiohttp.ClientPayloadError(reason))
+        self.set_exception(HttpProcessingError(message=reason))
         if self.transport is not None:
             self.transport.abort()
 
--- a/lycheespar/tests/admission/crash_guard_tests.py
+++ b/lycheespar/tests/admission/crash_guard_tests.py
@@ -11,6 +11,7 @@
 from lycheespar.call import Answer, Call, Load
 from lycheespar.errors import (
     CrashSuspectError,
+    InvalidAnswerError,
     OverloadedError,
     TargetLostError,
 )
@@ -252,3 +253,17 @@
     (harmless,) = await node.start('/b')
     node.target.end('/b')
     await harmless
+
+
+async def test_an_invalid_answer_before_a_restart_convicts_no_request(node):
+    """Requests that run at a target in trouble would be refused everywhere."""
+    tasks = await node.start('/a', '/b')
+    node.target.running['/a'].set_exception(InvalidAnswerError())
+    await asyncio.gather(tasks[0], return_exceptions=True)
+    node.local.announce(
+        Announcement('t', 'a', 'b', '127.0.0.1:1', incarnation='2'),
+    )
+    node.target.end('/b')
+    await tasks[1]
+    assert not node.guard._tasks
+    assert node.verdict('/a') is node.verdict('/b') is Verdict.clear
--- a/lycheespar/tests/admission/executor_tests.py
+++ b/lycheespar/tests/admission/executor_tests.py
@@ -12,6 +12,7 @@
 from lycheespar.errors import (
     DeadlineExceededError,
     DrainingError,
+    InvalidAnswerError,
     OutOfServiceError,
     OverloadedError,
     StaleConfigurationError,
@@ -257,3 +258,15 @@
     answers = [await pair.run(make_call(budget_s=3)) for _ in range(4)]
     assert [answer.status for answer in answers] == [200] * 4
     await link.stop()
+
+
+async def test_an_invalid_answer_is_a_failure_of_a_warm_target(build_pair):
+    """It was a quick success, or taken for a restart of the target."""
+    pair = build_pair(slots=12)
+    await pair.start(cold_start_s=0.1)
+    await pair.warm()
+    pair.target.raw_answer = b'HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n'
+    before = pair.executor.load.failure_share
+    assert isinstance(await pair.run(make_call()), InvalidAnswerError)
+    assert pair.executor.load.failure_share > before
+    assert pair.executor.load.limit == 12
--- a/lycheespar/tests/rollouts/controller_tests.py
+++ b/lycheespar/tests/rollouts/controller_tests.py
@@ -18,6 +18,7 @@
 from lycheespar.control.api.progress import ProgressReport
 from lycheespar.errors import (
     DeadlineExceededError,
+    InvalidAnswerError,
     NoQuorumError,
     TargetLostError,
 )
@@ -305,6 +306,7 @@
     found = await _count(_counter(), Answer(503, (), b'', Load()))
     assert (found.failures, found.answered) == (0, {})
     assert (await _count(_counter(), TargetLostError())).failures == 1
+    assert (await _count(_counter(), InvalidAnswerError())).failures == 1
     found = await _count(_counter(), DeadlineExceededError())
     assert sum(found.abandoned.values()) == 1
 
--- /dev/null
+++ b/lycheespar/tests/targets/invalid_answers_tests.py
@@ -0,0 +1,228 @@
+"""Answers whose head is not valid HTTP never reach callers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from lycheespar.call import Answer, Load
+from lycheespar.errors import OutcomeUnknownError
+from lycheespar.targets.announcement import Announcement
+from lycheespar.targets.client import TargetClient
+from lycheespar.tests.admission.calls import make_call
+from lycheespar.tests.targets.client_tests import ScriptedTarget
+from standins.cluster import wait_until
+
+LENGTH = b'Content-Length: 5\r\n'
+CHUNKED = b'Transfer-Encoding: chunked\r\n'
+CHUNKS = b'5\r\nhello\r\n0\r\n\r\n'
+CHUNKED_BODY = CHUNKED + b'\r\n' + CHUNKS
+OK = b'HTTP/1.1 200 OK\r\n'
+WHOLE = OK + LENGTH + b'\r\nhello'
+
+_INVALID_STATUSES = (b'000', b'001', b'099', b'600', b'999')
+_INVALID_STATUS_LINES = (
+    *(b'HTTP/1.1 %s OK' % status for status in _INVALID_STATUSES),
+    b'HTTP/1.1 20 OK',
+    b'HTTP/1.1 0200 OK',
+    b'HTTP/1.1 -20 OK',
+    b'HTTP/1.1 2x0 OK',
+    b'HTTP/1.1  200 OK',
+    b'HTTP/1.1 200OK',
+    b'HTTP/1.1 200 O\x01K',
+    b'HTTP/1.1 200 O\x7fK',
+    b'HTTP/1.1 200 O\rK',
+    b'HTTP/0.9 200 OK',
+    b'HTTP/1.2 200 OK',
+    b'HTTP/2.0 200 OK',
+    b'http/1.1 200 OK',
+    b'RTSP/1.0 200 OK',
+    b'ICE/1.0 200 OK',
+    b'200 OK',
+)
+_INVALID_FIELDS = (
+    b'Content-Type : a',
+    b'Connection : close',
+    b'Server : a',
+    b'X-Any : a',
+    b'X-Any\t: a',
+    b'X Any: a',
+    b'X-\x01Any: a',
+    b'X-\x7fAny: a',
+    b'X-\x00Any: a',
+    'X-\u00e9: a'.encode(),
+    b'X(Any): a',
+    b': a',
+    b'no colon',
+    b' X-Any: a',
+    b'\tX-Any: a',
+    b'X-Any: a\r\n folded',
+    b'X-Any: a\r\n\tfolded',
+    b'X-Any: a\x00b',
+    b'X-Any: a\x01b',
+    b'X-Any: a\x0bb',
+    b'X-Any: a\x1fb',
+    b'X-Any: a\x7fb',
+    b'X-Any: a\rb',
+)
+_INVALID_FRAMINGS = (
+    b'Content-Length : 5\r\n\r\nhelloworld',
+    b'Content-Length\t: 5\r\n\r\nhelloworld',
+    b'Content-Length: 5\r\nContent-Length: 10\r\n\r\nhelloworld',
+    b'Content-Length: +5\r\n\r\nhello',
+    b'Content-Length: -5\r\n\r\nhello',
+    b'Content-Length: \r\n\r\nhello',
+    b'Content-Length: 5 5\r\n\r\nhello',
+    b'Transfer-Encoding : chunked\r\n\r\n' + CHUNKS,
+    b'Transfer-Encoding: chunked, chunked\r\n\r\n' + CHUNKS,
+    CHUNKED + CHUNKED_BODY,
+    b'Transfer-Encoding: chunked, identity\r\n\r\n' + CHUNKS,
+    b'Transfer-Encoding: gzip, chunked\r\n\r\n' + CHUNKS,
+    b'Transfer-Encoding: xchunked\r\n\r\n' + CHUNKS,
+    b'Transfer-Encoding: identity\r\n\r\nhello',
+    b'Transfer-Encoding: \r\n\r\nhello',
+    CHUNKED + LENGTH + b'\r\n' + CHUNKS,
+    LENGTH + CHUNKED_BODY,
+)
+_INVALID_ANSWERS = (
+    *(line + b'\r\n' + LENGTH + b'\r\nhello' for line in _INVALID_STATUS_LINES),
+    *(OK + line + b'\r\n' + LENGTH + b'\r\nhello' for line in _INVALID_FIELDS),
+    *(OK + LENGTH + line + b'\r\n\r\nhello' for line in _INVALID_FIELDS),
+    *(OK + framing for framing in _INVALID_FRAMINGS),
+    b'HTTP/1.0 200 OK\r\n' + CHUNKED_BODY,
+    b'HTTP/1.1 204 No Content\r\n' + LENGTH + b'\r\nhello',
+    b'HTTP/1.1 204 No Content\r\n' + CHUNKED_BODY,
+    b'HTTP/1.1 101 Switching Protocols\r\n\r\nhello',
+    b'HTTP/1.1 101 Switching Protocols\r\n' + LENGTH + b'\r\nhello',
+    b'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n'
+    b'Upgrade: other\r\n\r\nhello',
+    b'HTTP/1.1 100 Continue\r\nX-Any: a\x01b\r\n\r\n' + WHOLE,
+    b'HTTP/1.1 100 Continue\r\n X-Any: a\r\n\r\n' + WHOLE,
+    b'HTTP/1.1 103 Early Hints\r\n' + LENGTH + b'\r\n' + WHOLE,
+    b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n' + LENGTH + b'\r\nhello',
+    # Both heads are in one piece of bytes.
+    b'HTTP/1.1 100 Continue\n\nHTTP/1.1 600 OK\nContent-Length: 5\n\nhello',
+)
+_VALID_HEADS = (
+    b'HTTP/1.1 200 OK\r\n',
+    b'HTTP/1.1 299 Odd\r\n',
+    b'HTTP/1.1 599 Odd\r\n',
+    b'HTTP/1.1 200 \r\n',
+    b'HTTP/1.1 200\r\n',
+    b'HTTP/1.1 200 a\tb \xc3\xa9 \xe9\r\n',
+    b'\r\n\r\nHTTP/1.1 200 OK\r\n',
+    OK + b"!#$%&'*+-.^_`|~09azAZ: a\r\n",
+    OK + b'X-Any:a\r\n',
+    OK + b'X-Any: \t a\tb \t\r\n',
+    OK + b'X-Any:\r\n',
+    OK + 'X-Any: \u00e9\U0001f600\r\n'.encode(),
+    OK + b'X-Any: a: b\r\nX-Any: c\r\n',
+    OK + b'X-Any: ' + b'a' * 8000 + b'\r\n',
+    OK + b''.join(b'X-%d: a\r\n' % number for number in range(120)),
+    b'HTTP/1.1 200 OK\nX-Any: a\n',
+    b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n',
+    b'HTTP/1.1 100 Continue\n\nHTTP/1.1 200 OK\r\n',
+    b'HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n',
+)
+
+
+class Target:
+    """Target that answers each request with the same bytes, and its client."""
+
+    def __init__(self, sent: bytes, *, piece_bytes: int = 0) -> None:
+        """Set the bytes, and the size of the segments that they are sent in."""
+        self._sent = sent
+        self._piece_bytes = piece_bytes or len(sent)
+        self.server = ScriptedTarget(self._send)
+
+    async def start(self) -> None:
+        """Open the port and the client."""
+        await self.server.start()
+        self.client = TargetClient(
+            Announcement('one', 'a', 'b', self.server.address)
+        )
+
+    async def _send(self, writer: asyncio.StreamWriter, _: bytes) -> None:
+        for begin in range(0, len(self._sent), self._piece_bytes):
+            writer.write(self._sent[begin : begin + self._piece_bytes])
+            await asyncio.sleep(0)
+
+
+@pytest.fixture
+async def connect() -> AsyncIterator:
+    """Return a function that starts a target that sends given bytes."""
+    started: list[Target] = []
+
+    async def start(sent: bytes, *, piece_bytes: int = 0) -> Target:
+        started.append(Target(sent, piece_bytes=piece_bytes))
+        await started[-1].start()
+        return started[-1]
+
+    yield start
+    for target in started:
+        await target.client.close()
+
+
+async def _read(answer: Answer) -> bytes:
+    if isinstance(answer.body, bytes):
+        return answer.body
+    return b''.join([chunk async for chunk in answer.body])
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize('sent', _INVALID_ANSWERS)
+async def test_an_invalid_head_is_no_answer(connect, sent, method):
+    """Callers got status 000, and bodies cut by a misread length."""
+    target = await connect(sent)
+    with pytest.raises(OutcomeUnknownError) as raised:
+        await target.client.send(make_call(method=method, budget_s=2), Load())
+    assert raised.value.status == 502
+    await wait_until(lambda: not target.server.open)
+
+
+@pytest.mark.parametrize('piece_bytes', [1, 7])
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'HTTP/1.1 000 OK\r\n' + LENGTH + b'\r\nhello',
+        OK + b'Content-Length : 5\r\n\r\nhelloworld',
+        OK + b' X-Any: a\r\n' + LENGTH + b'\r\nhello',
+        OK + b'X-Any: a\x01b\r\n' + LENGTH + b'\r\nhello',
+        b'RTSP/1.0 200 OK\r\n' + LENGTH + b'\r\nhello',
+    ],
+)
+async def test_an_invalid_head_in_segments_is_no_answer(
+    connect, sent, piece_bytes
+):
+    target = await connect(sent, piece_bytes=piece_bytes)
+    with pytest.raises(OutcomeUnknownError):
+        await target.client.send(make_call(budget_s=2), Load())
+    await wait_until(lambda: not target.server.open)
+
+
+async def test_an_invalid_head_is_no_answer_to_a_head_request(connect):
+    target = await connect(OK + b'Content-Length : 5\r\n\r\n')
+    with pytest.raises(OutcomeUnknownError):
+        await target.client.send(make_call(method='HEAD'), Load())
+
+
+@pytest.mark.parametrize('piece_bytes', [0, 7])
+@pytest.mark.parametrize('framing', [LENGTH + b'\r\nhello', CHUNKED_BODY])
+@pytest.mark.parametrize('head', _VALID_HEADS)
+async def test_an_odd_but_valid_head_is_passed_on(
+    connect, head, framing, piece_bytes
+):
+    """A check that is too strict would lose whole answers."""
+    target = await connect(head + framing, piece_bytes=piece_bytes)
+    for _ in range(2):
+        answer = await target.client.send(make_call(), Load())
+        assert await _read(answer) == b'hello'
+        assert 200 <= answer.status <= 599
+
+
+async def test_an_answer_of_http_1_0_is_passed_on(connect):
+    target = await connect(b'HTTP/1.0 200 OK\r\n' + LENGTH + b'\r\nhello')
+    answer = await target.client.send(make_call(), Load())
+    assert await _read(answer) == b'hello'
--- a/lycheespar/tests/targets/probes_tests.py
+++ b/lycheespar/tests/targets/probes_tests.py
@@ -115,3 +115,27 @@
     await target_with_executor.target.stop()
     target_with_executor.prober.start()
     await wait_until(lambda: target_with_executor.executor.load.limit == 2)
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'HTTP/1.1 000 OK\r\nContent-Length: 13\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length : 13\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nX-Any: a\x01b\r\nContent-Length: 13\r\n\r\n',
+    ],
+)
+async def test_a_load_in_an_invalid_answer_is_not_read(
+    target_with_executor, head
+):
+    """The load of a target in trouble was taken as reported."""
+    target_with_executor.target.raw_answer = head + b'{"running":9}'
+    target_with_executor.prober.start()
+    counts = target_with_executor.prober.counts
+    await wait_until(lambda: counts.failures >= 3)
+    assert counts.failures >= counts.probes - 1
+    assert target_with_executor.executor.load.running == 0
+    target_with_executor.target.raw_answer = b''
+    failures = counts.failures
+    await wait_until(lambda: counts.probes > failures + 5)
+    assert counts.failures <= failures + 1
--- a/standins/target.py
+++ b/standins/target.py
@@ -96,6 +96,10 @@
         Whether each request is refused as meant for another target.
     answer_headers : dict[str, str]
         Further headers of each answer.
+    raw_answer : bytes
+        Bytes that it sends in place of each answer, the load included, before
+        it closes the connection; empty for proper answers. A query parameter
+        has one character for each byte.
     load_frozen : bool
         Whether its load endpoint does not answer while this is set.
     load_lies : bool
@@ -131,6 +135,7 @@
         self.shedding = False
         self.misdirecting = False
         self.answer_headers: dict[str, str] = {}
+        self.raw_answer = b''
         self.load_frozen = False
         self.load_lies = False
         self.cancelled = 0
@@ -233,7 +238,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         match request.path:
             case '/load':
-                return await self._report_load()
+                return await self._report_load(request)
             case '/_stats':
                 return web.json_response(self.stats())
             case '/_set':
@@ -241,12 +246,16 @@
             case _:
                 return await self._handle_call(request)
 
-    async def _report_load(self) -> web.Response:
+    async def _report_load(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
         self.probes += 1
         while self.load_frozen:
             await asyncio.sleep(0.05)
         running = self.plan.slots if self.load_lies else self.running
         load = {'running': running, 'slots': self.plan.slots}
+        if self.raw_answer:
+            return self._send_raw(request)
         return web.json_response(load)
 
     def _change_behaviour(self, request: web.BaseRequest) -> web.Response:
@@ -257,6 +266,8 @@
         for name, text in request.query.items():
             if name == 'cold':
                 self.begin_cold_start()
+            elif name == 'raw_answer':
+                self.raw_answer = text.encode('latin-1')
             elif hasattr(self.plan, name):
                 setattr(self.plan, name, float(text))
             else:
@@ -311,9 +322,17 @@
         await asyncio.sleep(
             self._random.gammavariate(4, mean_ms / 4) / MS_PER_S,
         )
+        if self.raw_answer:
+            return self._send_raw(request)
         size = int(request.query.get('size', 0))
         return await self._respond(request, execution, received, size)
 
+    def _send_raw(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.transport is not None:
+            request.transport.write(self.raw_answer)
+            request.transport.close()
+        return web.Response()
+
     async def _respond(
         self,
         request: web.BaseRequest,
