Reject invalid answers that a node of an earlier version passes on

Cause: a channel took the status and the fields of an answer as they came.

Change: the channel checks them with `check_head`, the same definition as for targets. The call fails with `invalid_answer` (502, may have run) and a log line, a streamed body is cancelled, and the channel goes on.

--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from lycheespar.answer_head import check_head
 from lycheespar.call import Answer, Call, Load
 from lycheespar.errors import (
     ChannelClosedError,
@@ -17,6 +18,7 @@
     ChannelUnresponsiveError,
     DeadlineExceededError,
     DeadlineUnreachableError,
+    InvalidAnswerError,
     ProtocolError,
     RequestError,
     TruncatedAnswerError,
@@ -48,6 +50,8 @@
 from lycheespar.protocol.start_check import CancelElsewhere
 from lycheespar.quotas.grant import QuotaGrant
 from lycheespar.streams import GuardedStream
+from lycheespar.telemetry.event_log import events
+from lycheespar.telemetry.events import AnswerRejected
 
 # Time in seconds to wait for the `CancelResult` of a call whose deadline has
 # passed.
@@ -348,10 +352,22 @@
                 return
 
     def _handle_answer_head(self, head: AnswerHead) -> None:
-        """Complete a pending call; drop a late or repeated answer."""
+        """Complete a pending call; drop a late or repeated answer.
+
+        A node of an earlier version passes on any head of a target.
+        """
         pending = self._pending.get(head.call_id)
         if pending is None or pending.answer.done():
             return
+        try:
+            check_head(head.status, head.headers)
+        except InvalidAnswerError as error:
+            node = self._peer_hello.node
+            events.write(AnswerRejected(pending.request_id, node, error.detail))
+            if head.streamed:
+                self._connection.send(Cancel(head.call_id))
+            pending.answer.set_exception(error)
+            return
         body = self._answer_body(head) if head.streamed else head.body
         pending.answer.set_result(
             Answer(head.status, head.headers, body, head.load),
--- a/lycheespar/telemetry/events.py
+++ b/lycheespar/telemetry/events.py
@@ -183,7 +183,7 @@
     Attributes
     ----------
     target : str
-        Identity of the target.
+        Identity of the target, or the node that passed the answer on.
     reason : str
         Short description of the fault.
     """
--- a/lycheespar/tests/protocol/remote_node_tests.py
+++ b/lycheespar/tests/protocol/remote_node_tests.py
@@ -14,6 +14,7 @@
     ChannelConnectError,
     DeadlineExceededError,
     DeadlineUnreachableError,
+    InvalidAnswerError,
     OutcomeUnknownError,
 )
 from lycheespar.protocol import heartbeat, remote_node
@@ -330,3 +331,50 @@
         node.remote._channel._abort_silent()
         with pytest.raises(ChannelClosedError):
             await request
+
+
+@pytest.mark.parametrize('streamed', [False, True])
+@pytest.mark.parametrize(
+    ('status', 'headers'),
+    [
+        (0, ()),
+        (99, ()),
+        (101, ()),
+        (600, ()),
+        (200, (('Content-Length ', '5'),)),
+        (200, (('X Any', 'a'),)),
+        (200, (('', 'a'),)),
+        (200, (('X-Any\r\nX-Other', 'a'),)),
+        (200, (('X-Any', 'a\x01b'),)),
+        (200, (('X-Any', 'a\r\nX-Other: b'),)),
+    ],
+)
+async def test_an_invalid_answer_that_an_older_node_passes_on_is_rejected(
+    status, headers, streamed
+):
+    """Callers got it, and the target behind counted as quick."""
+    async with running_node() as node:
+        ended = asyncio.Event()
+
+        async def endless():
+            try:
+                while True:
+                    yield b'x' * 1000
+            finally:
+                ended.set()
+
+        async def execute(call: Call) -> Answer:
+            call.started = True
+            body = endless() if streamed else b'whole'
+            return Answer(status, headers, body, Load())
+
+        answer_properly = node.target.execute
+        node.target.execute = execute
+        with pytest.raises(InvalidAnswerError) as raised:
+            await node.remote.execute(new_call('/first'))
+        assert raised.value.status == 502
+        if streamed:
+            async with asyncio.timeout(10):
+                await ended.wait()
+        node.target.execute = answer_properly
+        assert (await node.remote.execute(new_call())).body == b'whole'
