Answer with an error where an answer's head can't be written

Callers saw: their connection ended without an answer, if the answer was whole; a 500, in chunks that its Content-Length denied, if it was streamed without a length. The target counted as quick and idle, as its node had passed the answer on, and drew most requests to itself.

Cause: aiohttp refuses control characters when it writes a head, after the handler has returned; an error there ends the connection. For a streamed answer the error came from the handler, and the writer still had chunks enabled.

Change: `send_answer` writes the head of whole answers too, and turns the refusal into `invalid_answer` (502, may have run), written without chunks. The checks at the target and between nodes keep such answers from coming so far; this holds for whatever else the writer may refuse.

Evidence: server_tests.py, 8 new cases, all failed without the change; the next request on the same connection is answered.

--- a/lycheespar/ingress/answers.py
+++ b/lycheespar/ingress/answers.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import math
-from typing import Final
+from typing import Final, cast
 
 import msgspec
 from aiohttp import hdrs, web
+from aiohttp.http_writer import StreamWriter
 from multidict import CIMultiDict
 
 from lycheespar.call import Answer
-from lycheespar.errors import RequestError
+from lycheespar.errors import InvalidAnswerError, RequestError
 
 PROBLEM_TYPE: Final = 'application/problem+json'
 TOO_MANY_REQUESTS: Final = 429
@@ -67,8 +68,8 @@
 ) -> web.StreamResponse:
     """Send a target's answer to the caller.
 
-    An answer with a whole body is returned unsent, for aiohttp to send; a
-    streamed one is sent here.
+    The head is written here, and the body if it is streamed. A whole body is
+    left to aiohttp.
 
     Parameters
     ----------
@@ -77,25 +78,34 @@
     answer : Answer
         Answer of the target.
     close_connection : bool
-        Whether a streamed answer tells the caller to close the connection.
+        Whether the answer tells the caller to close the connection.
 
     Raises
     ------
+    InvalidAnswerError
+        The head can't be written; nothing was sent to the caller.
     RequestError
         The body ended early, after the head was sent to the caller.
     """
     headers = CIMultiDict(answer.headers)
-    if isinstance(answer.body, bytes):
-        return web.Response(
-            status=answer.status,
-            headers=headers,
-            body=answer.body,
-        )
-    response = web.StreamResponse(status=answer.status, headers=headers)
+    body = answer.body
+    response = (
+        web.Response(status=answer.status, headers=headers, body=body)
+        if isinstance(body, bytes)
+        else web.StreamResponse(status=answer.status, headers=headers)
+    )
     if close_connection:
         response.force_close()
-    await response.prepare(request)
-    async for chunk in answer.body:
-        await response.write(chunk)
-    await response.write_eof()
+    try:
+        await response.prepare(request)
+    except ValueError as error:
+        # The writer goes on to the error, which has a length.
+        cast('StreamWriter', request.writer).chunked = False
+        raise InvalidAnswerError(
+            "the answer's head can't be written"
+        ) from error
+    if not isinstance(body, bytes):
+        async for chunk in body:
+            await response.write(chunk)
+        await response.write_eof()
     return response
--- a/lycheespar/ingress/server.py
+++ b/lycheespar/ingress/server.py
@@ -10,7 +10,12 @@
 from aiohttp import web
 
 from lycheespar.call import Answer, Dispatch
-from lycheespar.errors import InternalRequestError, Outcome, RequestError
+from lycheespar.errors import (
+    InternalRequestError,
+    InvalidAnswerError,
+    Outcome,
+    RequestError,
+)
 from lycheespar.http_limits.limits import RequestLimits, default_connections
 from lycheespar.ingress.answers import problem_response, send_answer
 from lycheespar.ingress.body import CallerBody
@@ -228,10 +233,14 @@
                 request,
                 answer,
                 close_connection=(
-                    self._ends_connection(request, streamed=True)
+                    self._ends_connection(
+                        request, streamed=not isinstance(answer.body, bytes)
+                    )
                     or self._rest_is_unreadable(request)
                 ),
             )
+        except InvalidAnswerError as error:
+            return self._error_response(request_id, error)
         except RequestError as error:
             events.write(AnswerTruncated(request_id, error.code))
             reset_connection(request)
--- a/lycheespar/tests/ingress/server_tests.py
+++ b/lycheespar/tests/ingress/server_tests.py
@@ -316,6 +316,40 @@
     writer.close()
 
 
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+@pytest.mark.parametrize('streamed', [False, True])
+@pytest.mark.parametrize('headers', [(), (('Content-Length', '2'),)])
+async def test_an_answer_that_cannot_be_written_becomes_an_error(
+    ingress, version, streamed, headers
+):
+    """The connection ended without an answer."""
+    closed = asyncio.Event()
+    body = GuardedStream(_chunks(b'o', b'k'), lambda _: closed.set())
+    ingress.dispatch.answer = Answer(
+        200,
+        (('X-Any', 'a\x01b'), *headers),
+        body if streamed else b'ok',
+        Load(),
+    )
+    reader, writer = await ingress.connect()
+    kept = f'GET /a HTTP/{version}\r\n{HEAD}Connection: keep-alive\r\n\r\n'
+    writer.write(kept.encode())
+    async with asyncio.timeout(10):
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert b' 502 ' in head.split(b'\r\n')[0]
+        assert b'transfer-encoding' not in head.lower()
+        length = int(head.lower().split(b'content-length: ')[1].split()[0])
+        problem = json.loads(await reader.readexactly(length))
+        assert problem['code'] == 'invalid_answer'
+        assert problem['outcome'] == 'unknown'
+        if streamed:
+            await closed.wait()
+        ingress.dispatch.answer = None
+        writer.write(_request())
+        assert (await reader.read()).endswith(b'got 0')
+    writer.close()
+
+
 async def test_disconnected_caller_cancels_its_call(ingress):
     ingress.dispatch.blocked = True
     _, writer = await ingress.connect()
