Pass on answers whose header values are not UTF-8

Callers saw: an error of their node, at the end of their deadline, for each answer of a target beside another node that has a byte such as E9 (ISO 8859-1) in a field's value. The channel between the nodes ended with all calls on it, and again each time the call was resumed. The caller beside the target got the answer without the byte.

Cause: aiohttp decodes values as UTF-8 with surrogates for other bytes. They can't be encoded in a frame, and the error ended the channel. The log of an ignored header raised in the same way and ended the round of probes.

Change: such a value is taken for ISO 8859-1 where headers of a target are read, for calls and probes, and is passed on as UTF-8. RFC 9110, section 5.5, allows these bytes, so the answer is valid and must arrive.

--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -26,6 +26,7 @@
 from lycheespar.targets.body import AnswerBody, RequestBody
 from lycheespar.targets.connection import IdentifiedRequest, StrictConnector
 from lycheespar.targets.headers import (
+    decode_values,
     get_header,
     remove_hop_by_hop,
     replace_headers,
@@ -177,7 +178,7 @@
             raise self._failure(call, request_body, error) from error
         return Answer(
             response.status,
-            remove_hop_by_hop(response.headers.items()),
+            remove_hop_by_hop(decode_values(response.headers.items())),
             body,
             load,
         )
--- a/lycheespar/targets/headers.py
+++ b/lycheespar/targets/headers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 from lycheespar.call import Headers
@@ -23,6 +23,29 @@
 )
 
 
+def decode_values(
+    headers: Iterable[tuple[str, str]],
+) -> Iterator[tuple[str, str]]:
+    """Return a target's headers with values that can be encoded again.
+
+    aiohttp decodes values as UTF-8 and puts surrogates in place of other bytes.
+    A value with such bytes is taken for ISO 8859-1, the charset that HTTP once
+    had (RFC 9110, section 5.5).
+    """
+    return (
+        (name, text if text.isascii() else _decode_value(text))
+        for name, text in headers
+    )
+
+
+def _decode_value(text: str) -> str:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return text.encode(errors='surrogateescape').decode('latin-1')
+    return text
+
+
 def remove_hop_by_hop(headers: Iterable[tuple[str, str]]) -> Headers:
     """Remove hop-by-hop headers.
 
--- a/lycheespar/targets/probes.py
+++ b/lycheespar/targets/probes.py
@@ -7,12 +7,14 @@
 
 import aiohttp
 import msgspec
+from multidict import CIMultiDict
 
 from lycheespar.background import start_background
 from lycheespar.membership.records import Phase
 from lycheespar.profile import DEFAULT_PROFILE, HeaderProfile
 from lycheespar.targets.announcement import Announcement, LocalTarget
 from lycheespar.targets.connection import StrictConnector
+from lycheespar.targets.headers import decode_values
 from lycheespar.targets.load import LoadReport, decode_body, decode_headers
 
 # Estimated cost of a probe at the target in milliseconds, which is charged even
@@ -220,7 +222,8 @@
             body = await response.content.read(MAX_RESPONSE_BYTES)
             self._counts.link_bytes += len(body)
             if self._profile.load:
-                return decode_headers(response.headers, self._profile)
+                headers = CIMultiDict(decode_values(response.headers.items()))
+                return decode_headers(headers, self._profile)
         return decode_body(body)
 
 
--- a/lycheespar/tests/end_to_end/invalid_answers_tests.py
+++ b/lycheespar/tests/end_to_end/invalid_answers_tests.py
@@ -110,3 +110,20 @@
         runs = await _runs(session, broken) - before
         assert set(statuses) <= {200, 502}
         assert runs <= REQUESTS / len(cluster.nodes)
+
+
+async def test_an_answer_with_a_value_that_is_not_utf_8_arrives(cluster):
+    """Only callers beside the target got it; other channels were lost."""
+    raw_answer = (
+        b'HTTP/1.1 200 OK\r\nX-Any: \xe9\r\nContent-Length: 5\r\n\r\nhello'
+    )
+    async with aiohttp.ClientSession() as session:
+        for target in cluster.targets.values():
+            await _answer_with(session, target, raw_answer)
+        for node in list(cluster.nodes.values()) * 4:
+            async with session.post(
+                f'{node.url}/a', headers=HEADERS
+            ) as response:
+                assert await response.read() == b'hello'
+                assert response.status == 200
+                assert response.headers['X-Any'] == '\u00e9'
--- a/lycheespar/tests/targets/invalid_answers_tests.py
+++ b/lycheespar/tests/targets/invalid_answers_tests.py
@@ -9,6 +9,8 @@
 
 from lycheespar.call import Answer, Load
 from lycheespar.errors import OutcomeUnknownError
+from lycheespar.protocol.framing import encode_frame
+from lycheespar.protocol.messages import AnswerHead
 from lycheespar.targets.announcement import Announcement
 from lycheespar.targets.client import TargetClient
 from lycheespar.tests.admission.calls import make_call
@@ -226,3 +228,27 @@
     target = await connect(b'HTTP/1.0 200 OK\r\n' + LENGTH + b'\r\nhello')
     answer = await target.client.send(make_call(), Load())
     assert await _read(answer) == b'hello'
+
+
+@pytest.mark.parametrize(
+    ('sent', 'passed_on'),
+    [
+        (b'\xe9', '\u00e9'),
+        (b'a \xc3\xa9', 'a \u00e9'),
+        (b'\xc3\xa9 \xff', '\u00c3\u00a9 \u00ff'),
+        (b'\xed\xa0\x80', '\u00ed\u00a0\u0080'),
+    ],
+)
+async def test_a_value_that_is_not_utf_8_can_be_sent_to_other_nodes(
+    connect, sent, passed_on
+):
+    """It ended the channel to the caller's node, with all calls on it."""
+    target = await connect(
+        OK + b'X-Any: ' + sent + b'\r\n' + LENGTH + b'\r\nhello'
+    )
+    answer = await target.client.send(make_call(), Load())
+    assert dict(answer.headers)['X-Any'] == passed_on
+    head = AnswerHead(
+        b'', answer.status, answer.headers, Load(), b'hello', streamed=False
+    )
+    assert encode_frame(head)
--- a/lycheespar/tests/targets/probes_tests.py
+++ b/lycheespar/tests/targets/probes_tests.py
@@ -7,7 +7,9 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from loguru import logger
 
+from lycheespar.profile import HeaderProfile
 from lycheespar.targets import probes
 from lycheespar.targets.probes import (
     MIN_PROBE_COST_MS,
@@ -15,6 +17,7 @@
     ProbeBudget,
     Prober,
 )
+from lycheespar.telemetry.logs import LineWriter
 from lycheespar.tests.admission.calls import (
     TargetWithExecutor,
     configuration,
@@ -139,3 +142,26 @@
     failures = counts.failures
     await wait_until(lambda: counts.probes > failures + 5)
     assert counts.failures <= failures + 1
+
+
+async def test_an_odd_byte_in_a_load_header_does_not_end_the_probes(
+    monkeypatch, capfd
+):
+    """An ignored header is logged with its value."""
+    monkeypatch.setattr(probes, 'MIN_POLL_INTERVAL_S', 0.01)
+    profile = HeaderProfile(load='X-Load', rate_limit='X-Limit')
+    pair = TargetWithExecutor(profile, slots=12)
+    await pair.start(probe_budget_ms_per_s=100)
+    log_id = logger.add(LineWriter(1, 'test', as_json=True), catch=False)
+    prober = Prober(pair.local, pair.executor, profile)
+    pair.target.raw_answer = (
+        b'HTTP/1.1 200 OK\r\nX-Load: 3,0,8\r\nX-Limit: \xe9\r\n'
+        b'Content-Length: 0\r\n\r\n'
+    )
+    prober.start()
+    await wait_until(lambda: prober.counts.probes > 3)
+    await prober.stop()
+    await pair.stop()
+    logger.remove(log_id)
+    assert not prober.counts.failures
+    assert '\u00e9' in capfd.readouterr().out
