Reject encoded bodies on the platform, whose callers ask for none

Callers saw: a success with Content-Encoding and a seal. The platform's pages say that such a body is not the target's.

Cause: content codings were passed on everywhere, as between a caller and a target that agree on one.

Change: the header profile says whether an installation has content codings. The platform's has none, so there such an answer is `invalid_answer`; elsewhere it is passed on as before, which a new test holds.

--- a/lycheespar/platform/headers.py
+++ b/lycheespar/platform/headers.py
@@ -20,4 +20,5 @@
     key='Api-Key',
     team='X-Lycheespar-Tenant-Name',
     integer_retry_after=False,
+    content_codings=False,
 )
--- a/lycheespar/profile.py
+++ b/lycheespar/profile.py
@@ -38,6 +38,9 @@
     integer_retry_after : bool
         Whether ``Retry-After`` has whole seconds only, for callers that do not
         understand fractions.
+    content_codings : bool
+        Whether targets may encode bodies, as in ``Content-Encoding: gzip``.
+        Otherwise an encoded body is not taken for the target's.
     """
 
     deadline: str = 'X-Deadline-Ms'
@@ -53,6 +56,7 @@
     key: str = 'X-Team-Key'
     team: str = 'X-Team'
     integer_retry_after: bool = True
+    content_codings: bool = True
 
 
 DEFAULT_PROFILE = HeaderProfile()
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -168,7 +168,7 @@
         try:
             async with asyncio.timeout_at(call.deadline):
                 response = await self._request(call, request_body)
-                self._check_request_id(call, response)
+                self._check_head(call, response)
                 body = await _read_body(call, response)
         except TimeoutError as error:
             raise DeadlineExceededError from error
@@ -213,18 +213,21 @@
             ),
         )
 
-    def _check_request_id(
+    def _check_head(
         self,
         call: Call,
         response: aiohttp.ClientResponse,
     ) -> None:
-        """Reject an answer that carries the id of another request.
+        """Reject an answer to another request, or one with a content coding.
 
         Raises
         ------
         TargetLostError
             The request ids differ. The connection has been closed, as its
             answers no longer match its requests.
+        InvalidAnswerError
+            The body is encoded, and the installation has no content codings.
+            The connection has been closed.
         """
         header_name = self._profile.request_id
         expected = get_header(call.headers, header_name) if header_name else ''
@@ -233,6 +236,13 @@
             raise self._rejection(
                 call, TargetLostError('the answer names another request')
             )
+        if self._profile.content_codings:
+            return
+        if hdrs.CONTENT_ENCODING in response.headers:
+            response.close()
+            raise self._rejection(
+                call, InvalidAnswerError('the body has a content coding')
+            )
 
     def _failure(
         self,
--- a/lycheespar/tests/targets/client_tests.py
+++ b/lycheespar/tests/targets/client_tests.py
@@ -13,10 +13,12 @@
 from lycheespar.errors import (
     BadRequestError,
     DeadlineExceededError,
+    InvalidAnswerError,
     RequestBodyAbortedError,
     TargetLostError,
     TruncatedAnswerError,
 )
+from lycheespar.profile import HeaderProfile
 from lycheespar.targets.announcement import Announcement
 from lycheespar.targets.client import TargetClient
 from lycheespar.tests.admission.calls import make_call
@@ -215,6 +217,28 @@
     assert answer.headers == (('Content-Length', '0'),)
 
 
+@pytest.mark.parametrize('coding', ['gzip', 'identity', ''])
+async def test_an_encoded_body_is_rejected_where_codings_are_not_used(coding):
+    """Callers that ask for none get a body that is not the target's."""
+    head = f'200 OK\r\nContent-Encoding: {coding}\r\nContent-Length: 2'
+    target = ScriptedTarget(_answer_with(head, b'ok'))
+    await target.start()
+    announced = Announcement('one', 'a', 'b', target.address)
+    client = TargetClient(announced, HeaderProfile(content_codings=False))
+    with pytest.raises(InvalidAnswerError):
+        await client.send(make_call(), Load())
+    await wait_until(lambda: not target.open)
+    await client.close()
+
+
+async def test_an_encoded_body_is_passed_on_as_it_is(connect):
+    head = '200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 2'
+    _, client = await connect(_answer_with(head, b'ok'))
+    answer = await client.send(make_call(), Load())
+    assert answer.body == b'ok'
+    assert dict(answer.headers)['Content-Encoding'] == 'gzip'
+
+
 async def _aborted_body() -> AsyncIterator[bytes]:
     yield b'x' * 1000
     raise BadRequestError('the caller left')
