Treat invalid answers of control hosts as an unknown outcome

Operators saw: "An operator's command failed" for a change that may have been accepted, when the answer had a status such as 000; a traceback when the body of a success could not be decoded; an answer with a control byte as a success.

Cause: the client of the operators' API read answers with aiohttp's lenient connection, took any status but 200 for a refusal, and decoded without a check.

Change: it uses the connections that check heads, and a body that is not what a control host sends is `no_quorum` (the outcome is unknown, the change may be resent with the same id), as a lost answer is.

--- a/lycheespar/commands/api_client.py
+++ b/lycheespar/commands/api_client.py
@@ -20,6 +20,7 @@
     NoQuorumError,
     control_error,
 )
+from lycheespar.targets.connection import StrictConnector
 
 # Seconds until an answer must be complete. A control host itself waits up to
 # 10 s for the outcome of a change.
@@ -83,11 +84,11 @@
         """
         body = msgspec.json.encode(command)
         reply = await self._request('POST', '/v1/changes', body)
-        return msgspec.json.decode(reply, type=_Accepted).revision
+        return _decode(reply, _Accepted).revision
 
     async def _get(self, path: str, content_type: type[Content]) -> Content:
         reply = await self._request('GET', path, None)
-        return msgspec.json.decode(reply, type=content_type)
+        return _decode(reply, content_type)
 
     async def _request(
         self, method: str, path: str, body: bytes | None
@@ -104,7 +105,9 @@
             REPLY_TIMEOUT_S,
             sock_connect=CONNECT_TIMEOUT_S,
         )
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with aiohttp.ClientSession(
+            connector=StrictConnector(), timeout=timeout
+        ) as session:
             for url in self._urls:
                 try:
                     return await _send(session, method, url + path, body)
@@ -136,6 +139,23 @@
     raise _decode_error(content)
 
 
+def _decode(reply: bytes, content_type: type[Content]) -> Content:
+    """Decode the body of an answer.
+
+    Raises
+    ------
+    NoQuorumError
+        The body is not what a control host sends.
+    """
+    try:
+        return msgspec.json.decode(reply, type=content_type)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise NoQuorumError(
+            'the answer of the control host is not valid; '
+            'the outcome is unknown',
+        ) from error
+
+
 def _decode_error(content: bytes) -> ControlError:
     try:
         problem = msgspec.json.decode(content, type=_Problem)
