Serve connections in tasks that asyncio does not watch

A node that ends with an open channel would log an error that nothing handled.

Cause: for a handler that is a coroutine, that asyncio asks the task for its error when it ends, also if it was cancelled; this raises CancelledError in a callback. The asyncio of Python 3.11.2 has no such callback.

Change: the channel server, and the stand-ins and tests that failed or share their code, create the task of a connection themselves. Errors of such a task are still reported by the event loop. No check was changed.

--- a/lycheespar/protocol/server.py
+++ b/lycheespar/protocol/server.py
@@ -55,6 +55,7 @@
         '_records',
         '_server',
         '_sweep_task',
+        '_tasks',
     )
 
     def __init__(
@@ -75,6 +76,7 @@
         self._channels: set[IncomingChannel] = set()
         self._server: asyncio.Server | None = None
         self._sweep_task: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def address(self) -> tuple[str, int]:
@@ -93,7 +95,7 @@
     async def start(self, host: str, port: int) -> None:
         """Listen on an address and start the check for silent channels."""
         self._server = await asyncio.start_server(
-            self._serve_channel, host, port, limit=READ_BUFFER_BYTES
+            self._accept, host, port, limit=READ_BUFFER_BYTES
         )
         self._sweep_task = start_background(
             'silent channels', self._close_silent
@@ -122,6 +124,20 @@
             *(closing.wait_closed(until) for closing in channels)
         )
 
+    def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Serve a channel in a task of this server.
+
+        For a coroutine, asyncio would create the task. Some versions, such as
+        that of Python 3.11.7, report its cancellation as an unhandled error.
+        """
+        task = asyncio.create_task(self._serve_channel(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _serve_channel(
         self,
         reader: asyncio.StreamReader,
--- a/lycheespar/tests/targets/client_tests.py
+++ b/lycheespar/tests/targets/client_tests.py
@@ -23,6 +23,7 @@
 from lycheespar.targets.client import TargetClient
 from lycheespar.tests.admission.calls import make_call
 from standins.cluster import wait_until
+from standins.serving import serve_streams
 
 Script = Callable[[asyncio.StreamWriter, bytes], Awaitable[None]]
 LARGE = 300_000
@@ -41,7 +42,7 @@
 
     async def start(self) -> None:
         """Open the port."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1')
+        self._server = await serve_streams(self._serve)
         host, port = self._server.sockets[0].getsockname()
         self.address = f'{host}:{port}'
 
--- a/lycheespar/tests/targets/early_answers_tests.py
+++ b/lycheespar/tests/targets/early_answers_tests.py
@@ -13,6 +13,7 @@
 from lycheespar.targets.client import TargetClient
 from lycheespar.tests.admission.calls import make_call
 from standins.cluster import wait_until
+from standins.serving import serve_streams
 
 PART = b'x' * CHUNK_BYTES
 
@@ -27,7 +28,7 @@
 
     async def start(self) -> str:
         """Open the port; return the address."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1')
+        self._server = await serve_streams(self._serve)
         host, port = self._server.sockets[0].getsockname()
         return f'{host}:{port}'
 
--- a/lycheespar/tests/targets/endless_answers_tests.py
+++ b/lycheespar/tests/targets/endless_answers_tests.py
@@ -23,6 +23,7 @@
 )
 from lycheespar.tests.admission.calls import make_call
 from standins.cluster import wait_until
+from standins.serving import serve_streams
 
 # Bytes that a node may take in before it closes the connection: buffers of the
 # sockets and the bounds of a head.
@@ -46,7 +47,7 @@
 
     async def open(self) -> str:
         """Open the port and return the address."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1')
+        self._server = await serve_streams(self._serve)
         host, port = self._server.sockets[0].getsockname()
         return f'{host}:{port}'
 
--- a/lycheespar/tests/targets/resend_tests.py
+++ b/lycheespar/tests/targets/resend_tests.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import pytest
 
 from lycheespar.call import Load
@@ -11,6 +9,7 @@
 from lycheespar.targets.announcement import Announcement
 from lycheespar.targets.client import TargetClient
 from lycheespar.tests.protocol.nodes import new_call
+from standins.serving import serve_streams
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
 
@@ -32,7 +31,7 @@
 @pytest.mark.parametrize('method', ['PUT', 'DELETE', 'GET', 'POST'])
 async def test_request_on_a_broken_connection_is_sent_once(method):
     target = _Target()
-    server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
+    server = await serve_streams(target.serve)
     host, port = server.sockets[0].getsockname()
     announcement = Announcement('a', 'team', 'service', f'{host}:{port}')
     client = TargetClient(announcement)
--- a/standins/link.py
+++ b/standins/link.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import Final
 
+from standins.serving import serve_streams
+
 READ_BYTES: Final = 65536
 
 Delay = Callable[[str], float]
@@ -59,7 +61,7 @@
 
     async def start(self, host: str = '127.0.0.1', port: int = 0) -> None:
         """Listen on an address; port 0 takes any free port."""
-        self._server = await asyncio.start_server(self._accept, host, port)
+        self._server = await serve_streams(self._accept, host, port)
 
     async def stop(self) -> None:
         """Close the port and all connections."""
