--- a/lycheespar/tests/end_to_end/invalid_answers_tests.py
+++ b/lycheespar/tests/end_to_end/invalid_answers_tests.py
@@ -36,19 +36,23 @@
     for index in range(3):
         node = planned.add_node(f'node-{index}', 'ijmuiden')
         planned.add_target(node, team='vlotwacht', service='certificates')
-    planned.start()
+    try:
+        planned.start()
+        await _configure(planned)
+        yield planned
+    finally:
+        planned.stop()
+
+
+async def _configure(cluster: Cluster) -> None:
+    """Configure the service and wait until all nodes serve it."""
+    routes = ({'method': 'GET', 'idempotent': True}, {'idempotent': False})
     async with aiohttp.ClientSession() as session:
-        routes = (
-            {'method': 'GET', 'idempotent': True},
-            {'idempotent': False},
-        )
-        await configure(session, planned.api, routes, cold_start_s=0)
-        for node in planned.nodes.values():
+        await configure(session, cluster.api, routes, cold_start_s=0)
+        for node in cluster.nodes.values():
             await wait_until(
                 partial(answers_with_status, session, f'{node.url}/a', HOST)
             )
-    yield planned
-    planned.stop()
 
 
 async def _answer_with(
