Name faults of answers plainly, and match on the error of a call

Read as a newcomer: the reasons of rejected answers speak of the answer and its body, a failure of evidence is what it counts, and the error of a call is chosen with `match`. No behaviour changes but the text of three reasons.

--- a/lycheespar/answer_head.py
+++ b/lycheespar/answer_head.py
@@ -91,15 +91,15 @@
         The answer may end at several places, or has an unsupported coding.
     """
     if head.code == SWITCHING_PROTOCOLS:
-        raise InvalidAnswerError('it switches protocols, unasked')
+        raise InvalidAnswerError('the answer switches protocols, unasked')
     lengths = head.headers.getall(hdrs.CONTENT_LENGTH, ())
     codings = head.headers.getall(hdrs.TRANSFER_ENCODING, ())
     if len(lengths) + len(codings) > 1:
-        raise InvalidAnswerError('the end of its body is declared twice')
+        raise InvalidAnswerError('the end of the body is declared twice')
     if codings and not _is_chunked(head, codings[0]):
         raise InvalidAnswerError('the transfer coding is not supported')
     if lengths and not _DIGITS.fullmatch(lengths[0]):
-        raise InvalidAnswerError('the length is not a number')
+        raise InvalidAnswerError('the length of the body is not a number')
     if head.code >= MIN_FINAL_STATUS and head.code != NO_CONTENT:
         return
     if codings or (lengths and lengths[0].strip('0')):
@@ -111,7 +111,7 @@
 
 
 def _describe_fault(received: bytearray) -> str:
-    """Return which part of a head is invalid."""
+    """Return which part of a head is invalid, without values of fields."""
     start = _HEAD_START.match(received)
     if start is None:
         return 'the status line is invalid'
--- a/lycheespar/ingress/answers.py
+++ b/lycheespar/ingress/answers.py
@@ -99,7 +99,7 @@
     try:
         await response.prepare(request)
     except ValueError as error:
-        # The writer goes on to the error, which has a length.
+        # The same writer is used for the error, which has a length.
         cast('StreamWriter', request.writer).chunked = False
         raise InvalidAnswerError(
             "the answer's head can't be written"
--- a/lycheespar/rollouts/evidence.py
+++ b/lycheespar/rollouts/evidence.py
@@ -176,7 +176,7 @@
             _increment(found.answered, latency_s)
 
     def record_failure(self, route: str) -> None:
-        """Count a call that the target answered with an end or odd bytes."""
+        """Count a call that ended without a valid answer."""
         found = self._route(route)
         if found is not None:
             found.failures += 1
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -251,15 +251,17 @@
         error: Exception,
     ) -> OutcomeUnknownError:
         """Return the error of a call that was sent but not wholly answered."""
-        if isinstance(error, aiohttp.ClientPayloadError):
-            return self._rejection(call, TruncatedAnswerError(str(error)))
-        if request_body is not None and request_body.error is not None:
-            return RequestBodyAbortedError(str(request_body.error))
-        if isinstance(error, aiohttp.ClientResponseError):
-            # Behind the colon, a parser shows bytes, which may be secret.
-            reason = error.message.partition(':')[0]
-            return self._rejection(call, InvalidAnswerError(reason))
-        return TargetLostError(str(error))
+        match error:
+            case aiohttp.ClientPayloadError():
+                return self._rejection(call, TruncatedAnswerError(str(error)))
+            case _ if request_body is not None and request_body.error:
+                return RequestBodyAbortedError(str(request_body.error))
+            case aiohttp.ClientResponseError():
+                # Behind the colon, a parser shows bytes, which may be secret.
+                reason = error.message.partition(':')[0]
+                return self._rejection(call, InvalidAnswerError(reason))
+            case _:
+                return TargetLostError(str(error))
 
     def _rejection(
         self, call: Call, error: OutcomeUnknownError
