Read only the settings that a role uses

Operators saw: a new field in network.listen_addrs with an empty value made running programs ignore the whole changed file, new seeds too, and kept nodes and control hosts from starting again (exit code 2, settings_invalid).

Cause: one reader for all roles checked every address that it found, and the fields of the other role. The same cause: empty bounds of matters that are not open, numbers out of range in unknown fields, and a reload, which takes seeds only, stopped at any field that is wrong.

Change: a node, a control host and a reload each read the fields that they use; optional fields that are empty count as not given. A field in use that is wrong is an error with its path, now also true for a number, a service that is no string and a port range out of range.

Why it works: what is not looked up can't be a problem.

--- a/lycheespar/commands/check.py
+++ b/lycheespar/commands/check.py
@@ -65,11 +65,10 @@
     from lycheespar.platform import settings  # noqa: PLC0415
 
     try:
-        raw_settings = settings.load_settings(path)
         if role == HOSTED_NODE:
-            settings.node_settings(raw_settings)
+            settings.node_settings(settings.load_node(path))
         else:
-            settings.control_settings(raw_settings)
+            settings.control_settings(settings.load_control(path))
     except SettingsError as error:
         return CheckReport(role, problems=error.problems)
     return CheckReport(role)
--- a/lycheespar/commands/hosted.py
+++ b/lycheespar/commands/hosted.py
@@ -16,7 +16,9 @@
 from lycheespar.platform.interfaces import PlatformInterfaces
 from lycheespar.platform.settings import (
     control_settings,
-    load_settings,
+    load_control,
+    load_gossip_seeds,
+    load_node,
     node_settings,
     settings_path,
 )
@@ -44,7 +46,7 @@
     from lycheespar.app import NodeApp  # noqa: PLC0415
 
     path = settings_path()
-    platform = load_settings(path)
+    platform = load_node(path)
     settings = node_settings(platform)
     run_until_stopped(
         settings,
@@ -64,7 +66,7 @@
     )
 
     path = settings_path()
-    settings = control_settings(load_settings(path))
+    settings = control_settings(load_control(path))
     run_until_stopped(
         settings,
         lambda stop: _serve(ControlApp(settings, OperatorServer), path, stop),
@@ -79,7 +81,7 @@
     )
     watch_task = start_background(
         'settings file',
-        lambda: _watch_settings(app, path, sighup_received),
+        lambda: watch_settings(app, path, sighup_received),
     )
     try:
         await app.run(stop)
@@ -87,7 +89,7 @@
         watch_task.cancel()
 
 
-async def _watch_settings(
+async def watch_settings(
     app: _Reloadable,
     path: Path,
     sighup_received: asyncio.Event,
@@ -105,10 +107,10 @@
             continue
         last_content = content
         try:
-            app.replace_seeds(load_settings(path).gossip_seeds)
+            app.replace_seeds(load_gossip_seeds(path))
         except SettingsError as error:
             log.error(
-                'The changed settings are invalid and ignored: {}.',
+                'The changed seeds are invalid and ignored: {}.',
                 error.detail,
             )
         else:
--- a/lycheespar/decoding.py
+++ b/lycheespar/decoding.py
@@ -68,6 +68,28 @@
         raise ValueError('JSON is nested too deeply') from error
 
 
+def load_foreign_json(text: str) -> Any:
+    """Decode JSON whose unknown fields may have any value.
+
+    Numbers out of range are floats, which may be infinite. The fields that are
+    used must be checked.
+
+    Raises
+    ------
+    ValueError
+        The JSON is malformed or is nested too deeply.
+    """
+    try:
+        return json.loads(text, parse_int=_parse_any_integer)
+    except RecursionError as error:
+        raise ValueError('JSON is nested too deeply') from error
+
+
+def _parse_any_integer(digits: str) -> float:
+    number = float(digits)
+    return int(digits) if abs(number) <= MAX_INTEGER else number
+
+
 def _parse_integer(digits: str) -> int:
     number = int(digits)
     if abs(number) > MAX_INTEGER:
--- a/lycheespar/platform/interfaces.py
+++ b/lycheespar/platform/interfaces.py
@@ -8,7 +8,7 @@
 from lycheespar.platform.headers import PLATFORM_PROFILE
 from lycheespar.platform.heartbeats import HeartbeatServer
 from lycheespar.platform.readiness import ReadinessServer
-from lycheespar.platform.settings import PlatformSettings
+from lycheespar.platform.settings import PlatformNodeSettings
 from lycheespar.profile import HeaderProfile
 from lycheespar.targets.announcement import LocalTarget
 
@@ -18,13 +18,13 @@
 
     Parameters
     ----------
-    settings : PlatformSettings
+    settings : PlatformNodeSettings
         Settings that the platform gives this process.
     """
 
     __slots__ = ('_settings',)
 
-    def __init__(self, settings: PlatformSettings) -> None:
+    def __init__(self, settings: PlatformNodeSettings) -> None:
         """Create the interfaces for a node with these settings."""
         self._settings = settings
 
--- a/lycheespar/platform/settings.py
+++ b/lycheespar/platform/settings.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import msgspec
 
-from lycheespar.decoding import load_json
+from lycheespar.decoding import MAX_INTEGER, load_foreign_json
 from lycheespar.errors import SettingsError
 from lycheespar.platform.formats import parse_s
 from lycheespar.settings.definitions import ControlSettings, NodeSettings
@@ -42,6 +42,13 @@
 # Time without contact in seconds after which a control host may be replaced by
 # another one; longer than a restart takes.
 REPLACE_AFTER_S: Final = 3
+# Names of the addresses that each role listens on.
+NODE_ADDRESSES: Final = ('outbound', 'ready_addr', 'control_plane')
+CONTROL_ADDRESSES: Final = ('control_plane',)
+# Times in seconds and number of hosts if the settings file has none.
+DEFAULT_GRACE_S: Final = 6.0
+DEFAULT_TARGET_HEARTBEAT_S: Final = 1.5
+DEFAULT_TOLERATED_LOSSES: Final = 1
 # Bounds of retries if the settings file has none: repeated requests allowed at
 # a service per first request, and in addition to that share. The values are
 # those of the smallest deployment that the platform describes.
@@ -58,77 +65,96 @@
 # Longest time in seconds for an operator call: clients try another host after
 # a second.
 OPERATION_TIMEOUT_S: Final = 0.9
+# Values of an optional field that is not set.
+_EMPTY_VALUES: Final[tuple[object, ...]] = (None, '', [], {})
+
+Value = TypeVar('Value')
 
 
 class PlatformSettings(msgspec.Struct, frozen=True):
-    """Settings that the platform gives a process, in terms of this project.
+    """Settings that the platform gives processes of all roles.
 
     Attributes
     ----------
-    node : str
-        Identity of the process.
     host : str
         IP number of the host.
     data_centre : str
         Data centre of the host.
-    first_start : bool
-        Whether the whole system starts for the first time.
-    data_folder : str
-        Folder on the disk; empty if the host has no disk.
-    own_service : str
-        Service of the target on this host; empty if there is none.
-    listen_addresses : dict[str, Address]
-        Addresses to listen on, by the platform's names for them.
+    addresses : dict[str, Address]
+        Addresses that the role listens on, by the platform's names for them.
     first_port : int
         First port of the range for traffic within the system.
     seeds : tuple[str, ...]
         IP numbers of some control hosts.
+    exposure_share : float
+        Largest share of a service's requests that a bad version may get while
+        it is rolled out; 0 if versions are not rolled out.
+    """
+
+    host: str
+    data_centre: str
+    addresses: dict[str, Address]
+    first_port: int
+    seeds: tuple[str, ...]
+    exposure_share: float
+
+    def internal_address(self, host: str, offset: int) -> Address:
+        """Return an address in the port range for traffic within the system."""
+        return Address(host, self.first_port + offset)
+
+    @property
+    def gossip_seeds(self) -> tuple[Address, ...]:
+        """Gossip addresses of some control hosts."""
+        return _gossip_addresses(self.seeds, self.first_port)
+
+
+class PlatformNodeSettings(PlatformSettings, frozen=True, kw_only=True):
+    """Settings that the platform gives a node.
+
+    Attributes
+    ----------
+    node : str
+        Identity of the process.
+    own_service : str
+        Service of the target on this host; empty if there is none.
     grace_s : float
         Time from SIGTERM to SIGKILL in seconds.
     target_heartbeat_s : float
         Time between two heartbeats of a target, in seconds.
-    tolerated_losses : int
-        Control hosts that may fail at the same time.
     retry_share : float
         Repeated requests allowed at a service per first request, for all
         nodes together.
     extra_retries : float
         Repeated requests allowed at a service in addition to that share.
-    exposure_share : float
-        Largest share of a service's requests that a bad version may get while
-        it is rolled out; 0 if versions are not rolled out.
     quota_slack : float
         Requests beyond a quota that are tolerated in each window.
     """
 
     node: str
-    host: str
-    data_centre: str
-    first_start: bool
-    data_folder: str
     own_service: str
-    listen_addresses: dict[str, Address]
-    first_port: int
-    seeds: tuple[str, ...]
     grace_s: float
     target_heartbeat_s: float
-    tolerated_losses: int
     retry_share: float
     extra_retries: float
-    exposure_share: float
     quota_slack: float
 
-    def internal_address(self, host: str, offset: int) -> Address:
-        """Return an address in the port range for traffic within the system."""
-        return Address(host, self.first_port + offset)
 
-    @property
-    def gossip_seeds(self) -> tuple[Address, ...]:
-        """Gossip addresses of some control hosts."""
-        return tuple(
-            self.internal_address(seed, GOSSIP_PORT_OFFSET)
-            for seed in self.seeds
-        )
+class PlatformControlSettings(PlatformSettings, frozen=True, kw_only=True):
+    """Settings that the platform gives a control host.
+
+    Attributes
+    ----------
+    first_start : bool
+        Whether the whole system starts for the first time.
+    data_folder : str
+        Folder on the disk.
+    tolerated_losses : int
+        Control hosts that may fail at the same time.
+    """
+
+    first_start: bool
+    data_folder: str
+    tolerated_losses: int
 
 
 def settings_path() -> Path:
@@ -145,32 +171,49 @@
     return Path(path)
 
 
-def load_settings(path: Path) -> PlatformSettings:
-    """Read the platform's settings file; unknown fields are ignored.
+def load_node(path: Path) -> PlatformNodeSettings:
+    """Read what a node uses of the settings file; the rest is ignored.
 
     Raises
     ------
     SettingsError
         The file can't be read, or fields are invalid; the error lists all.
     """
-    try:
-        given = load_json(path.read_text('utf-8'))
-    except (OSError, ValueError) as error:
-        raise SettingsError((f'{path}: {error}',)) from error
-    if not isinstance(given, dict):
-        raise SettingsError((f'{path}: must contain a JSON object',))
-    return _SettingsReader(given).read()
+    return _SettingsReader(_load_document(path)).read_node()
+
 
+def load_control(path: Path) -> PlatformControlSettings:
+    """Read what a control host uses of the settings file.
 
-def node_settings(platform: PlatformSettings) -> NodeSettings:
+    The rest is ignored.
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read, or fields are invalid; the error lists all.
+    """
+    return _SettingsReader(_load_document(path)).read_control()
+
+
+def load_gossip_seeds(path: Path) -> tuple[Address, ...]:
+    """Read the gossip addresses of some control hosts; ignore the rest.
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read, or it has no valid seeds or port range.
+    """
+    return _SettingsReader(_load_document(path)).read_gossip_seeds()
+
+
+def node_settings(platform: PlatformNodeSettings) -> NodeSettings:
     """Convert the platform's settings to the settings of a node.
 
     Raises
     ------
     SettingsError
-        A field that a node needs is missing.
+        A setting is outside the limits of this project.
     """
-    _require_addresses(platform, ('outbound', 'ready_addr', 'control_plane'))
     return NodeSettings.parse(
         {
             'name': platform.node,
@@ -178,9 +221,9 @@
             'log_json': True,
             'log_answers': True,
             'data_centre': platform.data_centre,
-            'http': str(platform.listen_addresses['outbound']),
-            'ready': str(platform.listen_addresses['ready_addr']),
-            'announce': str(platform.listen_addresses['control_plane']),
+            'http': str(platform.addresses['outbound']),
+            'ready': str(platform.addresses['ready_addr']),
+            'announce': str(platform.addresses['control_plane']),
             'inner': str(
                 platform.internal_address(platform.host, CHANNEL_PORT_OFFSET)
             ),
@@ -205,7 +248,7 @@
     )
 
 
-def control_settings(platform: PlatformSettings) -> ControlSettings:
+def control_settings(platform: PlatformControlSettings) -> ControlSettings:
     """Convert the platform's settings to the settings of a control host.
 
     Control hosts are named by their addresses, as the platform gives no
@@ -214,11 +257,8 @@
     Raises
     ------
     SettingsError
-        A field that a control host needs is missing.
+        A setting is outside the limits of this project.
     """
-    _require_addresses(platform, ('control_plane',))
-    if not platform.data_folder:
-        raise SettingsError(('self.data_dir: is missing',))
     address = platform.internal_address(platform.host, CONTROL_PORT_OFFSET)
     seeds = (
         platform.internal_address(seed, CONTROL_PORT_OFFSET)
@@ -230,7 +270,7 @@
             'metrics': str(Address(platform.host, METRICS_PORT)),
             'log_json': True,
             'data_centre': platform.data_centre,
-            'http': str(platform.listen_addresses['control_plane']),
+            'http': str(platform.addresses['control_plane']),
             'address': str(address),
             'peers': {str(seed): str(seed) for seed in seeds},
             'data_folder': platform.data_folder,
@@ -251,115 +291,179 @@
     )
 
 
-def _require_addresses(
-    platform: PlatformSettings, names: tuple[str, ...]
-) -> None:
-    missing = tuple(
-        f'network.listen_addrs.{name}: is missing'
-        for name in names
-        if name not in platform.listen_addresses
+def _load_document(path: Path) -> Mapping[str, Any]:
+    """Decode the settings file.
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read, or it does not hold a JSON object.
+    """
+    try:
+        document = load_foreign_json(path.read_text('utf-8'))
+    except (OSError, ValueError) as error:
+        raise SettingsError((f'{path}: {error}',)) from error
+    if not isinstance(document, dict):
+        raise SettingsError((f'{path}: must contain a JSON object',))
+    return document
+
+
+def _gossip_addresses(
+    seeds: tuple[str, ...], first_port: int
+) -> tuple[Address, ...]:
+    return tuple(
+        Address(seed, first_port + GOSSIP_PORT_OFFSET) for seed in seeds
     )
-    if missing:
-        raise SettingsError(missing)
 
 
 class _SettingsReader:
-    """Reads fields of the settings file and collects their problems."""
+    """Reads fields of the settings file and collects their problems.
+
+    Optional fields that are empty (null, or an empty string, list or object)
+    are read as not given: the platform may leave fields empty.
+    """
 
-    def __init__(self, given: Mapping[str, Any]) -> None:
-        self._document = given
+    def __init__(self, document: Mapping[str, Any]) -> None:
+        self._document = document
         self._problems: list[str] = []
 
-    def read(self) -> PlatformSettings:
-        """Return all fields.
+    def read_node(self) -> PlatformNodeSettings:
+        """Return what a node uses.
 
         Raises
         ------
         SettingsError
             Some fields are missing or invalid.
         """
-        network = self._find_table('network')
-        settings = PlatformSettings(
+        settings = PlatformNodeSettings(
+            **self._read_common(NODE_ADDRESSES),
             node=self._read_text('self', 'node_id'),
-            host=self._read_text('self', 'ip'),
-            data_centre=self._read_text('self', 'zone'),
-            first_start=self._read_field('self', 'bootstrap', False) is True,
-            data_folder=self._read_field('self', 'data_dir', None) or '',
-            own_service=self._read_field('self', 'service', None) or '',
-            listen_addresses=self._read_listen_addresses(
-                network.get('listen_addrs')
+            own_service=self._read_optional('', _as_text, 'self', 'service'),
+            grace_s=self._read_optional(
+                DEFAULT_GRACE_S, parse_s, 'terms', 'bounds', 'grace_period'
             ),
-            first_port=self._read_first_port(
-                network.get('internal_port_range')
-            ),
-            seeds=self._read_seeds(network.get('seed_nodes')),
-            grace_s=self._read_duration_s(
-                'terms', 'bounds', 'grace_period', '6s'
-            ),
-            target_heartbeat_s=self._read_duration_s(
+            target_heartbeat_s=self._read_optional(
+                DEFAULT_TARGET_HEARTBEAT_S,
+                parse_s,
                 'platform',
                 'heartbeat_interval',
-                '1500ms',
             ),
-            tolerated_losses=self._read_tolerated_losses(),
             retry_share=self._read_bound(
-                'retry_budget_ratio',
-                DEFAULT_RETRY_SHARE,
+                'retry_budget_ratio', DEFAULT_RETRY_SHARE
             ),
             extra_retries=self._read_bound(
-                'budget_extra_retries',
-                DEFAULT_EXTRA_RETRIES,
+                'budget_extra_retries', DEFAULT_EXTRA_RETRIES
             ),
-            exposure_share=self._read_bound('exposure_share', 0),
             quota_slack=self._read_bound('quota_slack', DEFAULT_QUOTA_SLACK),
         )
+        self._raise_problems()
+        return settings
+
+    def read_control(self) -> PlatformControlSettings:
+        """Return what a control host uses.
+
+        Raises
+        ------
+        SettingsError
+            Some fields are missing or invalid.
+        """
+        settings = PlatformControlSettings(
+            **self._read_common(CONTROL_ADDRESSES),
+            first_start=self._read_optional(
+                False, _as_truth, 'self', 'bootstrap'
+            ),
+            data_folder=self._read_text('self', 'data_dir'),
+            tolerated_losses=self._read_optional(
+                DEFAULT_TOLERATED_LOSSES,
+                _as_count,
+                'terms',
+                'fault_tolerance',
+                'machines',
+            ),
+        )
+        self._raise_problems()
+        return settings
+
+    def read_gossip_seeds(self) -> tuple[Address, ...]:
+        """Return the gossip addresses of some control hosts.
+
+        Raises
+        ------
+        SettingsError
+            The seeds or the port range are missing or invalid.
+        """
+        seeds = _gossip_addresses(self._read_seeds(), self._read_first_port())
+        self._raise_problems()
+        return seeds
+
+    def _read_common(self, address_names: tuple[str, ...]) -> dict[str, Any]:
+        """Return the fields of `PlatformSettings`."""
+        return {
+            'host': self._read_text('self', 'ip'),
+            'data_centre': self._read_text('self', 'zone'),
+            'addresses': {
+                name: self._read_address('network', 'listen_addrs', name)
+                for name in address_names
+            },
+            'first_port': self._read_first_port(),
+            'seeds': self._read_seeds(),
+            'exposure_share': self._read_bound('exposure_share', 0),
+        }
+
+    def _raise_problems(self) -> None:
         if self._problems:
             raise SettingsError(tuple(self._problems))
-        return settings
 
-    def _find_table(self, *path: str) -> Mapping[str, Any]:
+    def _find(self, *path: str) -> Any:
+        """Return the value of a field; None if it is not given."""
         found: Any = self._document
         for name in path:
             found = found.get(name) if isinstance(found, Mapping) else None
-        return found if isinstance(found, Mapping) else {}
+        return found
+
+    def _read_optional(
+        self,
+        default: Value,
+        parse: Callable[[Any], Value],
+        *path: str,
+    ) -> Value:
+        """Return the parsed value of a field, or the default without one."""
+        found = self._find(*path)
+        if found in _EMPTY_VALUES:
+            return default
+        try:
+            return parse(found)
+        except ValueError as error:
+            self._problems.append(f'{".".join(path)}: {error}')
+            return default
 
-    def _read_field(self, table: str, name: str, default: Any) -> Any:
-        return self._find_table(table).get(name, default)
+    def _read_bound(self, name: str, default: float) -> float:
+        return self._read_optional(default, _as_bound, 'terms', 'bounds', name)
 
-    def _read_text(self, table: str, name: str) -> str:
-        found = self._read_field(table, name, None)
+    def _read_text(self, *path: str) -> str:
+        found = self._find(*path)
         if isinstance(found, str) and found:
             return found
-        self._problems.append(f'{table}.{name}: must be a non-empty string')
+        self._problems.append(f'{".".join(path)}: must be a non-empty string')
         return ''
 
-    def _read_duration_s(self, *path_and_default: str) -> float:
-        *path, name, default = path_and_default
-        try:
-            return parse_s(self._find_table(*path).get(name, default))
-        except ValueError as error:
-            self._problems.append(f'{".".join((*path, name))}: {error}')
-            return 0
+    def _read_address(self, *path: str) -> Address:
+        return self._parse_address('.'.join(path), self._find(*path))
 
-    def _read_address(self, name: str, given: Any) -> Address:
+    def _parse_address(self, name: str, given: Any) -> Address:
         try:
             return parse_address(given)
         except InvalidOptionError as error:
-            self._problems.append(f'network.{name}: {error}')
+            self._problems.append(f'{name}: {error}')
             return Address('', 0)
 
-    def _read_listen_addresses(self, given: Any) -> dict[str, Address]:
-        if not isinstance(given, Mapping):
-            self._problems.append('network.listen_addrs: must be an object')
-            return {}
-        return {
-            name: self._read_address(f'listen_addrs.{name}', text)
-            for name, text in given.items()
-        }
-
-    def _read_first_port(self, given: Any) -> int:
-        match given:
-            case [int(first), int(last)] if first + CONTROL_PORT_OFFSET <= last:
+    def _read_first_port(self) -> int:
+        match self._find('network', 'internal_port_range'):
+            case [int(first), int(last)] if (
+                not isinstance(first, bool)
+                and first > 0
+                and first + CONTROL_PORT_OFFSET <= last < 2**16
+            ):
                 return first
             case _:
                 self._problems.append(
@@ -368,30 +472,41 @@
                 )
                 return 0
 
-    def _read_seeds(self, given: Any) -> tuple[str, ...]:
-        if not isinstance(given, list):
+    def _read_seeds(self) -> tuple[str, ...]:
+        found = self._find('network', 'seed_nodes')
+        if not isinstance(found, list):
             self._problems.append('network.seed_nodes: must be a list')
             return ()
         return tuple(
-            self._read_address(f'seed_nodes[{index}]', text).host
-            for index, text in enumerate(given)
+            self._parse_address(f'network.seed_nodes[{index}]', text).host
+            for index, text in enumerate(found)
         )
 
-    def _read_bound(self, name: str, default: float) -> float:
-        found = self._find_table('terms', 'bounds').get(name, default)
-        if isinstance(found, int | float) and found >= 0:
-            return found
-        self._problems.append(
-            f'terms.bounds.{name}: must be a number of at least 0'
-        )
-        return default
 
-    def _read_tolerated_losses(self) -> int:
-        found = self._find_table('terms', 'fault_tolerance').get('machines', 1)
-        if isinstance(found, int) and found >= 0:
-            return found
-        self._problems.append(
-            'terms.fault_tolerance.machines: must be a whole number of at '
-            'least 0',
-        )
-        return 1
+def _as_text(given: Any) -> str:
+    if isinstance(given, str):
+        return given
+    raise ValueError('must be a string')
+
+
+def _as_truth(given: Any) -> bool:
+    if isinstance(given, bool):
+        return given
+    raise ValueError('must be true or false')
+
+
+def _as_count(given: Any) -> int:
+    match given:
+        case int() if not isinstance(given, bool) and given >= 0:
+            return given
+        case _:
+            raise ValueError('must be a whole number of at least 0')
+
+
+def _as_bound(given: Any) -> float:
+    match given:
+        case bool():
+            pass
+        case int() | float() if 0 <= given <= MAX_INTEGER:
+            return given
+    raise ValueError('must be a number of at least 0')
--- a/lycheespar/tests/platform/odd_heartbeats_tests.py
+++ b/lycheespar/tests/platform/odd_heartbeats_tests.py
@@ -8,7 +8,13 @@
 
 from lycheespar.platform.heartbeats import HeartbeatServer
 from lycheespar.targets.announcement import LocalTarget
-from lycheespar.tests.odd_values import BEYOND_64_BITS, DEEP, MANY_DIGITS
+from lycheespar.tests.odd_values import (
+    BEYOND_64_BITS,
+    DEEP,
+    MANY_DIGITS,
+    UNKNOWN_VALUES,
+    with_unknown_fields,
+)
 from lycheespar.tests.targets.odd_entries_tests import (
     LONG_NAME,
     changed,
@@ -72,3 +78,17 @@
     )
     assert statuses == [400, 400, 400]
     assert target.current is None
+
+
+@pytest.mark.parametrize('value', UNKNOWN_VALUES, ids=repr)
+async def test_a_heartbeat_with_an_unknown_field_at_any_depth_is_used(value):
+    for heartbeat in with_unknown_fields(HEARTBEAT, value):
+        target = LocalTarget()
+        statuses = await post_all(
+            HeartbeatServer(target, '', 1.5),
+            '/api/rpc?call=instances.heartbeat&of=i-1',
+            json.dumps(heartbeat),
+            json.dumps(heartbeat),
+        )
+        assert statuses == [200, 200, 200]
+        assert target.current.slots == 12
