Store acknowledged departures of targets at the control hosts

Callers saw: requests run by a target whose deregistration, or drain, its node had acknowledged more than 4 s before. The node had been killed and started again, and a heartbeat sent before the departure arrived after that.

Cause: the order of a target's reports was kept in the memory of one process. Without the kill the same heartbeat was ignored, and the log of the new process shows that it announced the target when the heartbeat arrived.

Change: a departure takes effect at once and is acknowledged when the control hosts have committed it to their log. A node that starts reads its departures, confirmed by a quorum, before it uses a heartbeat; it holds the newest one until then, for 10 s at most. The order of reports moved from the platform's folder to targets/reports.py.

Why it works: what was acknowledged is durable at a majority, whatever restarts, and no process of the node uses a report before it knows it.

Both cases of the new test with real processes failed before the change. The unit tests of the new parts have no code to fail on before it. Late deregistrations of an earlier start are not part of this.

--- a/lycheespar/app.py
+++ b/lycheespar/app.py
@@ -24,6 +24,7 @@
 from lycheespar.control.following.configuration_follower import (
     ConfigurationFollower,
 )
+from lycheespar.control.following.departures import ControlDepartures
 from lycheespar.control.following.directory import ControlDirectory, Link
 from lycheespar.control.following.saved import SavedConfiguration
 from lycheespar.drain import GracefulStop, wait_until_current
@@ -125,6 +126,7 @@
         )
         self._prober = Prober(self._target, self._executor, profile)
         self._claim_links: tuple[Link, ...] = ()
+        self._directory: ControlDirectory | None = None
         self._key_records = KeyRecords()
         self._suspects = SuspectTable(self._broadcasts)
         self._rollouts = NodeRollouts(
@@ -187,7 +189,8 @@
             self._quotas,
         )
         self._announcement_server = self._interfaces.announcement_server(
-            self._target
+            self._target,
+            ControlDepartures(settings.name, self._control_links),
         )
         self._readiness_server = self._interfaces.readiness_server(
             self._is_ready
@@ -222,6 +225,7 @@
             self._members,
         )
         self._claim_links = directory.configured
+        self._directory = directory
         follower = ConfigurationFollower(
             self._settings.name,
             self._configuration,
@@ -245,6 +249,10 @@
         """Replace the gossip seeds after a change of the settings."""
         self._gossip.seeds = host_ports(seeds)
 
+    def _control_links(self) -> tuple[Link, ...]:
+        """Return links to the control hosts known now."""
+        return () if self._directory is None else self._directory.links
+
     def _is_ready(self) -> bool:
         """Return whether the node serves and has a configuration."""
         return self._serving and self._configuration.current.revision > 0
--- a/lycheespar/control/agreement/group.py
+++ b/lycheespar/control/agreement/group.py
@@ -20,11 +20,15 @@
 from lycheespar.control.agreement.group_formation import GroupFormation
 from lycheespar.control.agreement.joining import Joining
 from lycheespar.control.agreement.leader_messages import LeaderMessageHandler
-from lycheespar.control.agreement.leadership import Leadership
+from lycheespar.control.agreement.leadership import (
+    Leadership,
+    confirm_to_followers,
+)
 from lycheespar.control.agreement.leaving import Leaving
 from lycheespar.control.agreement.peer_messages import (
     Append,
     AskReadIndex,
+    DepartureCommitted,
     Identify,
     Install,
     Join,
@@ -32,6 +36,7 @@
     PeerRequest,
     Propose,
     Proposed,
+    ProposeDeparture,
     ReadIndex,
     RequestVote,
     StampReply,
@@ -182,7 +187,9 @@
         """Give this host's vote back before the host stops, if possible."""
         await Leaving(self._replica, self._timing).run()
         if self._leadership is not None:
-            await self._leadership.confirm_to_followers()
+            await confirm_to_followers(
+                self._leadership, self._timing.election_timeout_s
+            )
 
     async def handle(self, request: PeerRequest) -> PeerReply:
         """Answer a request of another control host.
@@ -218,7 +225,7 @@
         NoQuorumError
             The outcome is unknown; it is safe to submit the command again.
         """
-        reply = await self._ask_leader(Propose(command))
+        reply = await self.ask_leader(Propose(command))
         match reply:
             case Proposed(outcome):
                 return revision_of(outcome)
@@ -233,7 +240,7 @@
         NoQuorumError
             No quorum confirmed the state before the time-out.
         """
-        reply = await self._ask_leader(AskReadIndex())
+        reply = await self.ask_leader(AskReadIndex())
         match reply:
             case ReadIndex(index):
                 await _wait_until_applied(
@@ -243,6 +250,25 @@
             case _:
                 raise NoQuorumError(repr(reply))
 
+    async def ask_leader(self, request: PeerRequest) -> PeerReply:
+        """Send a request to the leader; retry until the time-out.
+
+        Raises
+        ------
+        NoQuorumError
+            No leader replied; the outcome is unknown.
+        StorageError
+            Several leaders can't store a change.
+        """
+        try:
+            async with asyncio.timeout(self._operation_timeout_s):
+                return await self._ask_until_answered(request)
+        except TimeoutError as error:
+            raise NoQuorumError(
+                'no leader answered in time; a change may have been '
+                + 'accepted: send it again with the same change id',
+            ) from error
+
     async def wait_for_revision_after(
         self,
         revision: int,
@@ -281,22 +307,16 @@
         match request:
             case Propose(command):
                 return Proposed(await leadership.propose(command))
+            case ProposeDeparture(content):
+                await leadership.replicate(
+                    content, lambda: self.state.has_departure(content)
+                )
+                return DepartureCommitted()
             case AskReadIndex():
                 return ReadIndex(await leadership.read_index())
             case _:
                 return StampReply(leadership.stamp)
 
-    async def _ask_leader(self, request: PeerRequest) -> PeerReply:
-        """Send a request to the leader; retry until the time-out."""
-        try:
-            async with asyncio.timeout(self._operation_timeout_s):
-                return await self._ask_until_answered(request)
-        except TimeoutError as error:
-            raise NoQuorumError(
-                'no leader answered in time; a change may have been '
-                + 'accepted: send it again with the same change id',
-            ) from error
-
     async def _ask_until_answered(self, request: PeerRequest) -> PeerReply:
         """Retry failures that another attempt or another leader may resolve."""
         failed_leaders = 0
--- a/lycheespar/control/agreement/leadership.py
+++ b/lycheespar/control/agreement/leadership.py
@@ -179,14 +179,31 @@
         known = self._replica.state.known_outcome(command)
         if known is not None:
             return known
+        outcomes = self._replica.state.outcomes
+        await self.replicate(
+            Proposal(command), lambda: command.change_id in outcomes
+        )
+        return outcomes[command.change_id]
+
+    async def replicate(self, content: Content, is_applied: Condition) -> None:
+        """Replicate an entry, unless its effect is in the state already.
+
+        Raises
+        ------
+        NotLeaderError
+            This host no longer leads; the outcome is unknown.
+        StorageError
+            The entry can't be stored; nothing was appended.
+        """
+        await self._wait_until(lambda: self.ready)
+        if is_applied():
+            return
         try:
-            self._append(Proposal(command))
+            self._append(content)
         except StorageError:
             self._step_down_if_quorum_can_store()
             raise
-        outcomes = self._replica.state.outcomes
-        await self._wait_until(lambda: command.change_id in outcomes)
-        return outcomes[command.change_id]
+        await self._wait_until(is_applied)
 
     async def read_index(self) -> int:
         """Return the committed index, confirmed by a round of messages.
@@ -208,16 +225,6 @@
             await self.confirmed.wait()
         return self._replica.state.index
 
-    async def confirm_to_followers(self) -> None:
-        """Wait until a quorum knows what is committed, if that works."""
-        try:
-            async with asyncio.timeout(self._timing.election_timeout_s):
-                await self.read_index()
-        except (TimeoutError, NotLeaderError) as error:
-            log.warning(
-                'No quorum has confirmed the last entries: {!r}.', error
-            )
-
     def _start_replication(self) -> None:
         """Start to replicate to each known host that has no task yet."""
         now = asyncio.get_running_loop().time()
@@ -339,3 +346,14 @@
             self._replica.leader = ''
         self._replica.changed.notify()
         self.confirmed.notify()
+
+
+async def confirm_to_followers(
+    leadership: Leadership, timeout_s: float
+) -> None:
+    """Wait until a quorum knows what is committed, if that works in time."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await leadership.read_index()
+    except (TimeoutError, NotLeaderError) as error:
+        log.warning('No quorum has confirmed the last entries: {!r}.', error)
--- a/lycheespar/control/agreement/peer_messages.py
+++ b/lycheespar/control/agreement/peer_messages.py
@@ -11,7 +11,11 @@
 from lycheespar.configuration.changes import Command
 from lycheespar.configuration.stamp import Stamp
 from lycheespar.control.messages import Failure
-from lycheespar.control.state.entries import LogEntry, Voters
+from lycheespar.control.state.entries import (
+    LogEntry,
+    TargetDeparted,
+    Voters,
+)
 from lycheespar.control.state.state import CommandOutcome, GroupState
 from lycheespar.rollouts.evidence import TargetEvidence
 
@@ -239,6 +243,24 @@
     outcome: CommandOutcome
 
 
+class ProposeDeparture(msgspec.Struct, frozen=True, tag='propose_departure'):
+    """Forwards the departure of a target beside a node to the leader.
+
+    Attributes
+    ----------
+    content : TargetDeparted
+        The entry to append.
+    """
+
+    content: TargetDeparted
+
+
+class DepartureCommitted(
+    msgspec.Struct, frozen=True, tag='departure_committed'
+):
+    """Reply to `ProposeDeparture`."""
+
+
 class AskProgress(msgspec.Struct, frozen=True, tag='ask_progress'):
     """Asks which revision each node has reported, and how long ago."""
 
@@ -286,6 +308,7 @@
     | AskStamp
     | AskReadIndex
     | Propose
+    | ProposeDeparture
     | AskProgress
     | AskEvidence
 )
@@ -297,6 +320,7 @@
     | StampReply
     | ReadIndex
     | Proposed
+    | DepartureCommitted
     | ProgressReply
     | EvidenceReply
     | Failure
--- a/lycheespar/control/host.py
+++ b/lycheespar/control/host.py
@@ -17,10 +17,12 @@
 from lycheespar.control.agreement.peer_messages import (
     AskEvidence,
     AskProgress,
+    DepartureCommitted,
     EvidenceReply,
     PeerReply,
     PeerRequest,
     ProgressReply,
+    ProposeDeparture,
 )
 from lycheespar.control.agreement.peers import PeerLinks, Timing, ask_all
 from lycheespar.control.agreement.replica import Replica
@@ -32,20 +34,25 @@
 from lycheespar.control.claims.claims import ClaimStore
 from lycheespar.control.link import LinkServer
 from lycheespar.control.messages import (
+    AskDepartures,
     Claim,
     ControlReply,
     ControlRequest,
+    DepartureRecorded,
+    DeparturesReply,
     EvidenceNoted,
     Failure,
     Pull,
     PullReply,
+    RecordDeparture,
     Release,
     ReportEvidence,
 )
 from lycheespar.control.packing import ReplyPacker
 from lycheespar.control.pull_replies import ReplyBuilder
+from lycheespar.control.state.entries import TargetDeparted
 from lycheespar.control.storage.storage import Storage
-from lycheespar.errors import ControlError, NotCurrentError
+from lycheespar.errors import ControlError, NoQuorumError, NotCurrentError
 from lycheespar.membership.records import Liveness, MemberRecord
 from lycheespar.rollouts.collection import EvidenceTable
 from lycheespar.rollouts.evidence import TargetEvidence
@@ -223,13 +230,43 @@
                 return await self._claims.handle(request)
             case AskProgress():
                 return ProgressReply(self._progress.nodes)
+            case ReportEvidence() | AskEvidence():
+                return self._handle_evidence(request)
+            case RecordDeparture() | AskDepartures():
+                return await self._handle_departures(request)
+            case _:
+                return await self.group.handle(request)
+
+    def _handle_evidence(
+        self, request: ReportEvidence | AskEvidence
+    ) -> EvidenceNoted | EvidenceReply:
+        match request:
             case ReportEvidence(evidence):
                 self._evidence.add(evidence)
                 return EvidenceNoted()
             case AskEvidence():
                 return EvidenceReply(self._running_evidence())
-            case _:
-                return await self.group.handle(request)
+
+    async def _handle_departures(
+        self, request: RecordDeparture | AskDepartures
+    ) -> DepartureRecorded | DeparturesReply:
+        """Record a departure, or return those of a node.
+
+        Raises
+        ------
+        ControlError
+            No quorum replied in time, or no leader can store the departure.
+        """
+        match request:
+            case RecordDeparture(node, departure):
+                content = TargetDeparted(node, departure)
+                reply = await self.group.ask_leader(ProposeDeparture(content))
+                if not isinstance(reply, DepartureCommitted):
+                    raise NoQuorumError(repr(reply))
+                return DepartureRecorded()
+            case AskDepartures(node):
+                state = await self.group.read()
+                return DeparturesReply(state.departures.get(node, ()))
 
     async def _pull(self, request: Pull) -> PullReply:
         """Reply with what is newer than the node's revision.
--- a/lycheespar/control/messages.py
+++ b/lycheespar/control/messages.py
@@ -11,7 +11,9 @@
 from lycheespar.configuration.changes import Change
 from lycheespar.configuration.model import Configuration
 from lycheespar.configuration.stamp import Stamp
+from lycheespar.decoding import Name
 from lycheespar.rollouts.evidence import TargetEvidence
+from lycheespar.targets.departures import Departure
 
 
 class Pull(msgspec.Struct, frozen=True, tag='pull'):
@@ -116,6 +118,50 @@
     """Reply to `ReportEvidence`."""
 
 
+class RecordDeparture(msgspec.Struct, frozen=True, tag='record_departure'):
+    """Request of a node to store a departure before it acknowledges it.
+
+    Attributes
+    ----------
+    node : str
+        Identity of the node.
+    departure : Departure
+        The departure of a target beside the node.
+    """
+
+    node: Name
+    departure: Departure
+
+
+class DepartureRecorded(msgspec.Struct, frozen=True, tag='departure_recorded'):
+    """Reply to `RecordDeparture`: no failure that is borne can lose it."""
+
+
+class AskDepartures(msgspec.Struct, frozen=True, tag='ask_departures'):
+    """Request of a node that has started for the departures of its targets.
+
+    Attributes
+    ----------
+    node : str
+        Identity of the node.
+    """
+
+    node: Name
+
+
+class DeparturesReply(msgspec.Struct, frozen=True, tag='departures_reply'):
+    """Reply to `AskDepartures`.
+
+    Attributes
+    ----------
+    departures : tuple[Departure, ...]
+        All departures that were recorded for the node before the request, but
+        for old ones beyond the limit.
+    """
+
+    departures: tuple[Departure, ...]
+
+
 class Failure(msgspec.Struct, frozen=True, tag='failure'):
     """Reply to a request that failed.
 
@@ -131,5 +177,14 @@
     detail: str
 
 
-ControlRequest = Pull | Claim | Release | ReportEvidence
-ControlReply = PullReply | ClaimReply | EvidenceNoted | Failure
+ControlRequest = (
+    Pull | Claim | Release | ReportEvidence | RecordDeparture | AskDepartures
+)
+ControlReply = (
+    PullReply
+    | ClaimReply
+    | EvidenceNoted
+    | DepartureRecorded
+    | DeparturesReply
+    | Failure
+)
--- a/lycheespar/control/state/entries.py
+++ b/lycheespar/control/state/entries.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from lycheespar.configuration.changes import Command
+from lycheespar.targets.departures import Departure
 
 # Disk ids of the voters by name of their control host, in the order in which
 # the hosts were admitted; entries and snapshots keep that order.
@@ -76,8 +77,23 @@
     command: Command
 
 
+class TargetDeparted(msgspec.Struct, frozen=True, tag='target_departed'):
+    """A departure that the node beside the target is about to acknowledge.
+
+    Attributes
+    ----------
+    node : str
+        Identity of the node.
+    departure : Departure
+        The departure.
+    """
+
+    node: str
+    departure: Departure
+
+
 VoterChange = ReplaceDisk | RemoveVoter
-Content = FormGroup | VoterChange | BeginTerm | Proposal
+Content = FormGroup | VoterChange | BeginTerm | Proposal | TargetDeparted
 
 
 def apply_voter_change(voters: Voters, change: VoterChange) -> Voters:
--- a/lycheespar/control/state/state.py
+++ b/lycheespar/control/state/state.py
@@ -13,6 +13,11 @@
     is_base_outdated,
 )
 from lycheespar.configuration.model import Configuration
+from lycheespar.control.state.departures import (
+    DepartureTable,
+    add_departure,
+    is_recorded,
+)
 from lycheespar.control.state.entries import (
     BeginTerm,
     FormGroup,
@@ -20,6 +25,7 @@
     Proposal,
     RemoveVoter,
     ReplaceDisk,
+    TargetDeparted,
     Voters,
     apply_voter_change,
 )
@@ -98,6 +104,8 @@
         Outcomes by change id, oldest first.
     history : list[AcceptedChange]
         The most recent accepted changes, oldest first.
+    departures : DepartureTable
+        Departures of targets by the node beside them.
     """
 
     index: int = 0
@@ -108,6 +116,7 @@
     configuration: Configuration = Configuration()
     outcomes: dict[str, CommandOutcome] = {}
     history: list[AcceptedChange] = []
+    departures: DepartureTable = {}
 
     @property
     def revision(self) -> int:
@@ -127,6 +136,8 @@
                 self.voters = apply_voter_change(self.voters, entry.content)
             case Proposal(command):
                 self._apply_command(command)
+            case TargetDeparted(node, departure):
+                add_departure(self.departures, node, departure)
             case BeginTerm():
                 return
 
@@ -149,6 +160,10 @@
             return Invalid(error.problems)
         return None
 
+    def has_departure(self, content: TargetDeparted) -> bool:
+        """Whether a departure, or a later one of the target, is stored."""
+        return is_recorded(self.departures, content.node, content.departure)
+
     def accepted_since(self, revision: int) -> list[AcceptedChange] | None:
         """Return the changes after a revision; None if some are evicted."""
         missing = self.revision - revision
--- a/lycheespar/node_interfaces.py
+++ b/lycheespar/node_interfaces.py
@@ -9,6 +9,7 @@
 from lycheespar.settings.options import Address
 from lycheespar.targets.announcement import LocalTarget
 from lycheespar.targets.api import AnnouncementApi
+from lycheespar.targets.departures import DepartureStore
 
 
 class PortServer(Protocol):
@@ -32,7 +33,9 @@
     def own_service(self) -> str:
         """Service of the target on this host; empty if it is not known."""
 
-    def announcement_server(self, target: LocalTarget) -> PortServer:
+    def announcement_server(
+        self, target: LocalTarget, departures: DepartureStore
+    ) -> PortServer:
         """Return the server that receives the target's announcements."""
 
     def readiness_server(
@@ -62,7 +65,9 @@
         """Empty, as targets announce their service themselves."""
         return ''
 
-    def announcement_server(self, target: LocalTarget) -> PortServer:
+    def announcement_server(
+        self, target: LocalTarget, departures: DepartureStore
+    ) -> PortServer:
         """Return the server that receives the target's announcements."""
         return AnnouncementApi(target)
 
--- a/lycheespar/platform/heartbeats.py
+++ b/lycheespar/platform/heartbeats.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final, Literal
 
 import msgspec
@@ -20,7 +19,7 @@
 from lycheespar.errors import BodyTooLargeError
 from lycheespar.http_limits.limits import port_limits
 from lycheespar.http_limits.server import BoundedServer
-from lycheespar.platform.formats import MS_PER_S, parse_s
+from lycheespar.platform.formats import parse_s
 from lycheespar.platform.rpc import is_rpc_call, rpc_response
 from lycheespar.settings.options import Address
 from lycheespar.targets.announcement import (
@@ -28,15 +27,14 @@
     LocalTarget,
     parse_target_address,
 )
+from lycheespar.targets.departures import DepartureStore
+from lycheespar.targets.reports import Report, TargetReports
 
 # Heartbeat intervals without a heartbeat after which a target counts as gone.
 LEASE_HEARTBEATS: Final = 4
 # Connections to the target beyond its slots, for probes and for connections
 # that are being replaced.
 SPARE_CONNECTIONS: Final = 8
-# Targets whose last report is remembered; the one reported least recently is
-# forgotten first.
-MAX_LAST_REPORTS: Final = 256
 # Largest body of a heartbeat, and all bodies that are being received, in bytes.
 MAX_BODY_BYTES: Final = 1024 * 1024
 SHARED_BODY_BYTES: Final = 4 * 1024 * 1024
@@ -102,37 +100,12 @@
 _deregistration_decoder = msgspec.json.Decoder(_Deregistration)
 
 
-class _LastReport(msgspec.Struct):
-    """Newest heartbeat or deregistration of one target.
-
-    Attributes
-    ----------
-    started_at_ms : int
-        Unix time of the target's start in milliseconds; the time of the
-        deregistration if the start is not known.
-    sequence : int
-        Number of the newest heartbeat; 0 after a deregistration.
-    deregistered : bool
-        Whether the target was deregistered.
-    """
-
-    started_at_ms: int
-    sequence: int
-    deregistered: bool = False
-
-    def supersedes(self, started_at_ms: int, sequence: int) -> bool:
-        """Whether a heartbeat is outdated by this report."""
-        if self.deregistered:
-            return started_at_ms <= self.started_at_ms
-        return self.started_at_ms == started_at_ms and sequence <= self.sequence
-
-
 class HeartbeatServer:
     """Receives heartbeats and deregistrations of the target on this host.
 
-    A heartbeat that is older than one received before, or that belongs to an
-    earlier start of the target, has no effect. It is still acknowledged, so
-    that its sender continues.
+    An outdated heartbeat has no effect. It is still acknowledged, so that its
+    sender continues. A drain or a deregistration is acknowledged when it is
+    stored.
 
     Parameters
     ----------
@@ -143,6 +116,8 @@
         services are rejected. Empty to accept any.
     interval_s : float
         Time between two heartbeats, in seconds.
+    departures : DepartureStore
+        Stores departures before they are acknowledged.
     """
 
     def __init__(
@@ -150,13 +125,12 @@
         target: LocalTarget,
         own_service: str,
         interval_s: float,
+        departures: DepartureStore,
     ) -> None:
         """Create a stopped server; `start` opens the port."""
-        self._target = target
+        self._reports = TargetReports(target, departures)
         self._own_service = own_service
         self._lease_s = interval_s * LEASE_HEARTBEATS
-        self._last_reports: dict[str, _LastReport] = {}
-        self._latest_start_ms = 0
         self._bodies = BodyReader(MAX_BODY_BYTES, SHARED_BODY_BYTES)
         self._runner = web.ServerRunner(
             BoundedServer(self._handle, port_limits())
@@ -164,12 +138,14 @@
 
     async def start(self, address: Address) -> None:
         """Listen on an address."""
+        self._reports.start()
         await self._runner.setup()
         site = web.TCPSite(self._runner, address.host, address.port)
         await site.start()
 
     async def stop(self) -> None:
         """Close the port."""
+        self._reports.stop()
         await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
@@ -182,13 +158,13 @@
             return rpc_response(error.status, error.detail)
         match request.query.get('call'):
             case 'instances.heartbeat':
-                return self._handle_heartbeat(target, body)
+                return await self._handle_heartbeat(target, body)
             case 'instances.deregister':
-                return self._handle_deregistration(target, body)
+                return await self._handle_deregistration(target, body)
             case _:
                 return rpc_response(404, 'unknown call')
 
-    def _handle_heartbeat(self, target: str, body: bytes) -> web.Response:
+    async def _handle_heartbeat(self, target: str, body: bytes) -> web.Response:
         try:
             heartbeat = decode(_heartbeat_decoder, body)
             announcement = self._to_announcement(target, heartbeat)
@@ -197,13 +173,15 @@
                 "Rejected a heartbeat of target '{}': {}.", target, error
             )
             return rpc_response(400, str(error))
-        if self._record_if_newer(
-            target, heartbeat.started_at_ms, heartbeat.status.sequence
-        ):
-            self._target.announce(announcement)
-        else:
-            log.info("Ignored an outdated heartbeat of target '{}'.", target)
-        return rpc_response(200)
+        return _acknowledgement(
+            certain=await self._reports.receive(
+                Report(
+                    announcement,
+                    heartbeat.started_at_ms,
+                    heartbeat.status.sequence,
+                )
+            )
+        )
 
     def _to_announcement(
         self,
@@ -241,60 +219,19 @@
             version=info.version,
         )
 
-    def _record_if_newer(
-        self,
-        target: str,
-        started_at_ms: int,
-        sequence: int,
-    ) -> bool:
-        """Record a heartbeat and return True if it is newer than all others."""
-        if self._target.current is None:
-            # The last announcement has expired. The clock that gives the start
-            # times may have been set back since.
-            self._latest_start_ms = 0
-        if started_at_ms < self._latest_start_ms:
-            return False
-        last_report = self._last_reports.get(target)
-        if last_report is not None and last_report.supersedes(
-            started_at_ms, sequence
-        ):
-            return False
-        self._latest_start_ms = started_at_ms
-        self._remember(target, _LastReport(started_at_ms, sequence))
-        return True
-
-    def _remember(self, target: str, report: _LastReport) -> None:
-        """Store the newest report of a target."""
-        self._last_reports.pop(target, None)
-        if len(self._last_reports) >= MAX_LAST_REPORTS:
-            self._last_reports.pop(next(iter(self._last_reports)))
-        self._last_reports[target] = report
-
-    def _handle_deregistration(self, target: str, body: bytes) -> web.Response:
-        """Mark a target as leaving, so that it gets no new work.
-
-        A target without an earlier heartbeat is recorded too, as this process
-        may have just started: a delayed heartbeat must not announce the
-        target again.
-        """
+    async def _handle_deregistration(
+        self, target: str, body: bytes
+    ) -> web.Response:
+        """Mark a target as leaving, so that it gets no new work."""
         try:
             _check_name(target)
         except ValueError as error:
             return rpc_response(400, str(error))
-        last_report = self._last_reports.get(target)
-        started_at_ms = max(
-            _deregistered_start_ms(body),
-            last_report.started_at_ms if last_report else 0,
-        )
-        self._remember(
-            target,
-            _LastReport(started_at_ms or _now_ms(), 0, deregistered=True),
+        return _acknowledgement(
+            certain=await self._reports.deregister(
+                target, _deregistered_start_ms(body)
+            )
         )
-        current = self._target.current
-        if current is not None and current.target == target:
-            self._target.mark_leaving()
-        log.info("Target '{}' was deregistered.", target)
-        return rpc_response(200)
 
 
 def _check_name(target: str) -> None:
@@ -313,5 +250,8 @@
     return deregistration.started_at_ms
 
 
-def _now_ms() -> int:
-    return int(time.time() * MS_PER_S)
+def _acknowledgement(*, certain: bool) -> web.Response:
+    """Build the response to a report that was used."""
+    if certain:
+        return rpc_response(200)
+    return rpc_response(503, 'the departure is not stored yet')
--- a/lycheespar/platform/interfaces.py
+++ b/lycheespar/platform/interfaces.py
@@ -11,6 +11,7 @@
 from lycheespar.platform.settings import PlatformNodeSettings
 from lycheespar.profile import HeaderProfile
 from lycheespar.targets.announcement import LocalTarget
+from lycheespar.targets.departures import DepartureStore
 
 
 class PlatformInterfaces:
@@ -38,12 +39,15 @@
         """Service of the target on this host."""
         return self._settings.own_service
 
-    def announcement_server(self, target: LocalTarget) -> PortServer:
+    def announcement_server(
+        self, target: LocalTarget, departures: DepartureStore
+    ) -> PortServer:
         """Return the server that receives the target's heartbeats."""
         return HeartbeatServer(
             target,
             self._settings.own_service,
             self._settings.target_heartbeat_s,
+            departures,
         )
 
     def readiness_server(self, is_ready: Callable[[], bool]) -> PortServer:
--- a/lycheespar/tests/platform/bodies_tests.py
+++ b/lycheespar/tests/platform/bodies_tests.py
@@ -15,6 +15,7 @@
 from lycheespar.platform.operators import OperatorServer
 from lycheespar.settings.options import Address
 from lycheespar.targets.announcement import LocalTarget
+from lycheespar.tests.departures import StoredDepartures
 
 LARGE = 4 * SMALL_BODY_BYTES
 # One large body that is complete fits beside one that is not.
@@ -111,7 +112,9 @@
 
 async def test_unfinished_heartbeats_share_a_bound(monkeypatch):
     monkeypatch.setattr(heartbeats, 'SHARED_BODY_BYTES', SHARED)
-    await _check_shared(HeartbeatServer(LocalTarget(), '', 1))
+    await _check_shared(
+        HeartbeatServer(LocalTarget(), '', 1, StoredDepartures())
+    )
 
 
 async def test_unfinished_calls_of_operators_share_a_bound(monkeypatch):
--- a/lycheespar/tests/platform/end_to_end_tests.py
+++ b/lycheespar/tests/platform/end_to_end_tests.py
@@ -288,3 +288,28 @@
         text = await response.text()
     assert 'lycheespar_call_total' in text
     assert 'lycheespar_configuration_label 1.0' in text
+
+
+@pytest.mark.parametrize('leaves_by', ['draining', 'deregistration'])
+async def test_a_late_heartbeat_after_a_restart_brings_no_leaving_target_back(
+    site, leaves_by
+):
+    """A restarted node must know what its former process has acknowledged."""
+    await _configure(site)
+    leaving = site.targets[2]
+    leaving._task.cancel()
+    async with aiohttp.ClientSession() as session:
+        late = leaving.heartbeat_body()
+        if leaves_by == 'draining':
+            leaving.state = 'draining'
+            assert await leaving.send_heartbeat(session) == 200
+        else:
+            assert await leaving.deregister(session) == 200
+        leaving.machine.kill()
+        leaving.machine.start()
+        await site.wait_until_node_ready(leaving.machine)
+        before = leaving.runs.total()
+        assert await leaving.post_heartbeat(session, late) == 200
+    for machine in _nodes(site)[:2] * 40:
+        assert (await _call(machine))[1] == 200
+    assert leaving.runs.total() == before
--- a/lycheespar/tests/platform/heartbeats_tests.py
+++ b/lycheespar/tests/platform/heartbeats_tests.py
@@ -8,9 +8,13 @@
 import pytest
 
 from lycheespar.membership.records import Phase
-from lycheespar.platform.heartbeats import MAX_LAST_REPORTS, HeartbeatServer
+from lycheespar.platform.heartbeats import HeartbeatServer
 from lycheespar.settings.options import Address
+from lycheespar.targets import reports
 from lycheespar.targets.announcement import LocalTarget
+from lycheespar.targets.departures import Departure
+from lycheespar.targets.reports import MAX_LAST_REPORTS
+from lycheespar.tests.departures import StoredDepartures
 
 
 class HeartbeatHarness:
@@ -18,11 +22,29 @@
 
     def __init__(self) -> None:
         """Create a stopped server and its client."""
+        self.departures = StoredDepartures()
         self.target = LocalTarget()
-        self.server = HeartbeatServer(self.target, 'records', 1.5)
+        self.server = self._new_server()
         self.session = aiohttp.ClientSession()
         self.port = 0
 
+    async def start(self):
+        """Open the port, and wait until departures are known if they can be."""
+        await self.server.start(Address('127.0.0.1', 0))
+        self.port = self.server._runner.addresses[0][1]
+        if self.departures.reachable.is_set():
+            await self.server._reports._restore_task
+
+    async def restart(self):
+        """Replace the server by one of a new process."""
+        await self.server.stop()
+        self.target = LocalTarget()
+        self.server = self._new_server()
+        await self.start()
+
+    def _new_server(self):
+        return HeartbeatServer(self.target, 'records', 1.5, self.departures)
+
     async def call(self, call, target='i-1', **body):
         """Send a call and return the status of the response."""
         url = f'http://127.0.0.1:{self.port}/api/rpc?call={call}&of={target}'
@@ -56,8 +78,7 @@
 async def harness():
     """Run a heartbeat server with its client."""
     running = HeartbeatHarness()
-    await running.server.start(Address('127.0.0.1', 0))
-    running.port = running.server._runner.addresses[0][1]
+    await running.start()
     yield running
     await running.session.close()
     await running.server.stop()
@@ -160,7 +181,7 @@
     for number in range(MAX_LAST_REPORTS + 10):
         await harness.call('instances.deregister', f'i-{number}')
         await harness.send_heartbeat(1, target='i-own')
-    assert len(harness.server._last_reports) == MAX_LAST_REPORTS
+    assert len(harness.server._reports._last_reports) == MAX_LAST_REPORTS
     assert harness.state is Phase.ready
     await harness.call('instances.deregister', 'i-own')
     assert await harness.send_heartbeat(2, target='i-own') == 200
@@ -172,4 +193,90 @@
     harness, target
 ):
     assert await harness.call('instances.deregister', target) == 400
-    assert not harness.server._last_reports
+    assert not harness.server._reports._last_reports
+
+
+async def test_a_restarted_node_ignores_a_late_heartbeat_after_a_deregistration(
+    harness,
+):
+    await harness.send_heartbeat(1)
+    assert await harness.call('instances.deregister', born=1000) == 200
+    await harness.restart()
+    assert await harness.send_heartbeat(2) == 200
+    assert harness.state is None
+    await harness.send_heartbeat(1, born=2000)
+    assert harness.state is Phase.ready
+
+
+async def test_a_restarted_node_ignores_a_late_heartbeat_after_a_drain(harness):
+    await harness.send_heartbeat(1)
+    assert await harness.send_heartbeat(5, 'draining') == 200
+    await harness.restart()
+    assert await harness.send_heartbeat(4) == 200
+    assert harness.state is None
+    await harness.send_heartbeat(6, 'draining')
+    assert harness.state is Phase.draining
+
+
+@pytest.mark.parametrize('leaves_by', ['draining', 'deregistration'])
+async def test_a_departure_is_acknowledged_only_when_it_is_stored(
+    harness, leaves_by
+):
+    """An acknowledgement must hold after a restart of the node."""
+
+    async def leave():
+        if leaves_by == 'draining':
+            return await harness.send_heartbeat(2, 'draining')
+        return await harness.call('instances.deregister', born=1000)
+
+    await harness.send_heartbeat(1)
+    harness.departures.reachable.clear()
+    assert await leave() == 503
+    # It gets no new work all the same.
+    assert harness.state in {Phase.draining, Phase.left}
+    harness.departures.reachable.set()
+    assert await leave() == 200
+    assert await leave() == 200
+    assert len(harness.departures.departures) == 1
+
+
+async def test_heartbeats_are_held_until_departures_are_known(harness):
+    await harness.call('instances.deregister', born=1000)
+    harness.departures.reachable.clear()
+    await harness.restart()
+    assert await harness.send_heartbeat(7) == 200
+    assert harness.state is None
+    harness.departures.reachable.set()
+    await harness.server._reports._restore_task
+    assert harness.state is None
+
+
+async def test_a_held_heartbeat_is_used_once_departures_are_known(harness):
+    harness.departures.reachable.clear()
+    await harness.restart()
+    await harness.send_heartbeat(2)
+    await harness.send_heartbeat(1)
+    assert harness.state is None
+    harness.departures.reachable.set()
+    await harness.server._reports._restore_task
+    assert harness.state is Phase.ready
+    assert await harness.send_heartbeat(1, 'draining') == 200
+    assert harness.state is Phase.ready
+
+
+async def test_a_target_is_served_though_departures_stay_unknown(
+    harness, monkeypatch
+):
+    """Without the control hosts, targets must not stay unknown for ever."""
+    monkeypatch.setattr(reports, 'HOLD_TIMEOUT_S', 0.05)
+    departure = Departure('i-1', 1000, deregistered=True)
+    harness.departures.departures.append(departure)
+    harness.departures.reachable.clear()
+    await harness.restart()
+    await harness.send_heartbeat(1)
+    async with asyncio.timeout(5):
+        while harness.state is None:
+            await harness.send_heartbeat(2)
+    harness.departures.reachable.set()
+    await harness.server._reports._restore_task
+    assert harness.state is Phase.draining
--- a/lycheespar/tests/platform/limits_tests.py
+++ b/lycheespar/tests/platform/limits_tests.py
@@ -17,11 +17,14 @@
 from lycheespar.targets.api import AnnouncementApi
 from lycheespar.telemetry.exposition import MetricsServer
 from lycheespar.telemetry.metrics import Metrics
+from lycheespar.tests.departures import StoredDepartures
 
 HEAD = b'POST /api/rpc?call=config.put HTTP/1.1\r\nHost: host\r\n'
 SERVERS = {
     'readiness': lambda: ReadinessServer(lambda: True),
-    'heartbeats': lambda: HeartbeatServer(LocalTarget(), '', 1),
+    'heartbeats': lambda: HeartbeatServer(
+        LocalTarget(), '', 1, StoredDepartures()
+    ),
     'operators': lambda: OperatorServer(Mock()),
     'announcements': lambda: AnnouncementApi(LocalTarget()),
     'metrics': lambda: MetricsServer(Metrics(None, 'node')),
--- a/lycheespar/tests/platform/odd_heartbeats_tests.py
+++ b/lycheespar/tests/platform/odd_heartbeats_tests.py
@@ -8,6 +8,7 @@
 
 from lycheespar.platform.heartbeats import HeartbeatServer
 from lycheespar.targets.announcement import LocalTarget
+from lycheespar.tests.departures import StoredDepartures
 from lycheespar.tests.odd_values import (
     BEYOND_64_BITS,
     DEEP,
@@ -57,7 +58,7 @@
 @pytest.mark.parametrize('odd', ODD_HEARTBEATS)
 async def test_an_odd_heartbeat_is_rejected_and_the_target_stays_known(odd):
     target = LocalTarget()
-    server = HeartbeatServer(target, '', 1.5)
+    server = HeartbeatServer(target, '', 1.5, StoredDepartures())
     statuses = await post_all(
         server,
         '/api/rpc?call=instances.heartbeat&of=i-1',
@@ -71,7 +72,7 @@
 async def test_a_target_with_a_long_name_is_rejected():
     target = LocalTarget()
     statuses = await post_all(
-        HeartbeatServer(target, '', 1.5),
+        HeartbeatServer(target, '', 1.5, StoredDepartures()),
         f'/api/rpc?call=instances.heartbeat&of={"n" * 2000}',
         json.dumps(HEARTBEAT),
         json.dumps(HEARTBEAT),
@@ -85,7 +86,7 @@
     for heartbeat in with_unknown_fields(HEARTBEAT, value):
         target = LocalTarget()
         statuses = await post_all(
-            HeartbeatServer(target, '', 1.5),
+            HeartbeatServer(target, '', 1.5, StoredDepartures()),
             '/api/rpc?call=instances.heartbeat&of=i-1',
             json.dumps(heartbeat),
             json.dumps(heartbeat),
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -244,8 +244,12 @@
 
     async def send_heartbeat(self, session: aiohttp.ClientSession) -> int:
         """Send one heartbeat to the node; return the status of the answer."""
+        return await self.post_heartbeat(session, self.heartbeat_body())
+
+    def heartbeat_body(self) -> dict[str, Any]:
+        """Return the body of the next heartbeat."""
         self._sequence += 1
-        body = {
+        return {
             'address': self.address,
             'info': {
                 'service': self.machine.service,
@@ -260,8 +264,23 @@
             },
             'born': self._started_at_ms,
         }
-        call = f'call=instances.heartbeat&of={self.identity}'
-        url = f'http://{self.machine.address("control_plane")}/api/rpc?{call}'
+
+    async def post_heartbeat(
+        self, session: aiohttp.ClientSession, body: dict[str, Any]
+    ) -> int:
+        """Send a heartbeat with a given body; return the status."""
+        return await self._post(session, 'instances.heartbeat', body)
+
+    async def deregister(self, session: aiohttp.ClientSession) -> int:
+        """Deregister at the node; return the status of the answer."""
+        body = {'born': self._started_at_ms}
+        return await self._post(session, 'instances.deregister', body)
+
+    async def _post(
+        self, session: aiohttp.ClientSession, call: str, body: dict[str, Any]
+    ) -> int:
+        address = self.machine.address('control_plane')
+        url = f'http://{address}/api/rpc?call={call}&of={self.identity}'
         async with session.post(url, json=body) as answer:
             return answer.status
 
