Let a late deregistration end only the start that it names

Targets saw: one that had started again under its id got no requests any more, for as long as it ran, if the deregistration of its earlier start arrived late.

Cause: the newer of the start that the call names and the start that is known was taken as the one that ended.

Change: a deregistration that names an earlier start than the known one is stored and acknowledged, and changes nothing else. One without a start ends the present one, as before.

--- a/lycheespar/targets/reports.py
+++ b/lycheespar/targets/reports.py
@@ -189,17 +189,27 @@
             Whether the deregistration may be acknowledged.
         """
         last_report = self._last_reports.get(target)
-        if last_report is not None:
-            started_at_ms = max(started_at_ms, last_report.started_at_ms)
+        last_start_ms = last_report.started_at_ms if last_report else 0
         departure = Departure(
-            target, started_at_ms or _now_ms(), deregistered=True
+            target,
+            started_at_ms or last_start_ms or _now_ms(),
+            deregistered=True,
         )
+        if departure.started_at_ms < last_start_ms:
+            log.info(
+                "An earlier start of target '{}' was deregistered.", target
+            )
+        else:
+            self._end(departure)
+        return await self._store(departure)
+
+    def _end(self, departure: Departure) -> None:
+        """Give a deregistered target no new work."""
         self._remember_departure(departure)
         current = self._target.current
-        if current is not None and current.target == target:
+        if current is not None and current.target == departure.target:
             self._target.mark_leaving()
-        log.info("Target '{}' was deregistered.", target)
-        return await self._store(departure)
+        log.info("Target '{}' was deregistered.", departure.target)
 
     def _use(self, report: Report) -> None:
         """Announce the target unless something newer is known of it."""
--- a/lycheespar/tests/platform/heartbeats_tests.py
+++ b/lycheespar/tests/platform/heartbeats_tests.py
@@ -119,6 +119,23 @@
     assert harness.state is Phase.ready
 
 
+async def test_a_late_deregistration_of_an_earlier_start_ends_no_later_one(
+    harness,
+):
+    """A target may start again under its id before the call has arrived."""
+    await harness.send_heartbeat(9, born=1000)
+    await harness.send_heartbeat(1, born=2000)
+    assert await harness.call('instances.deregister', born=1000) == 200
+    assert harness.state is Phase.ready
+    assert await harness.send_heartbeat(2, born=2000) == 200
+    assert harness.state is Phase.ready
+    await harness.restart()
+    await harness.send_heartbeat(10, born=1000)
+    assert harness.state is None
+    await harness.send_heartbeat(3, born=2000)
+    assert harness.state is Phase.ready
+
+
 async def test_target_may_start_again_after_deregistration(harness):
     await harness.send_heartbeat(9, 'draining')
     await harness.call('instances.deregister')
