End answers that are not whole at the deadline of their call

Callers saw: downloads from a target that fell silent had neither their rest nor an end at the route's timeout; they hung until the target's host reset its connections, or for 20 s. Bodies that drip or have no end went on without any limit. The target's slots were taken as long.

Cause: the deadline of a call bounded the wait for the head of the answer. The body was read without it, at the node beside the target and on the channel.

Change: at the deadline, the node beside the target closes the connection of a body that has not arrived wholly, whether it is read or not. The caller's connection is reset, as before for answers that break off. A body that has arrived and waits for its caller is delivered.

Why it works: the timer is at the body itself, so no reader has to come by.

--- a/lycheespar/configuration/model.py
+++ b/lycheespar/configuration/model.py
@@ -51,7 +51,7 @@
     idempotent : bool
         Whether the requests may run more than once.
     deadline_ms : int
-        Time within which the head of the answer must be complete, in
+        Time within which the answer must have arrived from the target, in
         milliseconds; 0 for the deadline of the service.
     """
 
@@ -68,7 +68,7 @@
     Attributes
     ----------
     deadline_ms : int
-        Time within which the head of an answer must be complete, in
+        Time within which an answer must have arrived from the target, in
         milliseconds.
     queue_limit : int
         Largest number of requests queued at a target's node.
--- a/lycheespar/protocol/body.py
+++ b/lycheespar/protocol/body.py
@@ -56,6 +56,12 @@
         self._complete = False
         self._error: LycheesparError | None = None
 
+    @property
+    def waits_for_sender(self) -> bool:
+        """Whether the body goes on and the consumer has read all of it."""
+        ended = self._complete or self._error is not None
+        return not (ended or self._chunks)
+
     def feed(self, offset: int, chunk: bytes) -> None:
         """Add a chunk that was received from the channel.
 
--- a/lycheespar/protocol/channel.py
+++ b/lycheespar/protocol/channel.py
@@ -45,6 +45,7 @@
     QuotaReply,
     Refused,
 )
+from lycheespar.protocol.overdue import OverdueCheck
 from lycheespar.protocol.pending import PendingCall, PendingCalls, build_request
 from lycheespar.protocol.quota_requests import QuotaRequests
 from lycheespar.protocol.start_check import CancelElsewhere
@@ -162,6 +163,7 @@
         pending = self._pending.add(
             call.call_id, call.request_id, cancel_elsewhere
         )
+        pending.deadline = call.deadline
         answer: Answer | None = None
         try:
             self._send_request(call, attach_only=attach_only)
@@ -368,21 +370,31 @@
                 self._connection.send(Cancel(head.call_id))
             pending.answer.set_exception(error)
             return
-        body = self._answer_body(head) if head.streamed else head.body
+        body = (
+            self._answer_body(head.call_id, pending.deadline)
+            if head.streamed
+            else head.body
+        )
         pending.answer.set_result(
             Answer(head.status, head.headers, body, head.load),
         )
 
-    def _answer_body(self, head: AnswerHead) -> AsyncIterator[bytes]:
+    def _answer_body(
+        self, call_id: bytes, deadline: float
+    ) -> AsyncIterator[bytes]:
         """Return a streamed body; closing it early cancels the call."""
-        receiver = self._connection.open_receiver(head.call_id)
+        receiver = self._connection.open_receiver(call_id)
         self._heartbeat.body_started()
+        overdue = OverdueCheck(receiver, self._connection, deadline)
         return GuardedStream(
             aiter(receiver),
-            partial(self._end_answer_body, head.call_id),
+            partial(self._end_answer_body, call_id, overdue),
         )
 
-    def _end_answer_body(self, call_id: bytes, complete: bool) -> None:
+    def _end_answer_body(
+        self, call_id: bytes, overdue: OverdueCheck, complete: bool
+    ) -> None:
+        overdue.stop()
         self._heartbeat.body_ended()
         self._stop_sending_body(call_id)
         if not complete:
--- a/lycheespar/protocol/pending.py
+++ b/lycheespar/protocol/pending.py
@@ -50,6 +50,9 @@
         Instant at which the acknowledgement is overdue.
     delivery : Delivery | None
         Follows the request on its way, once it is written.
+    deadline : float
+        Deadline of the call in seconds on the event loop's clock; the time at
+        which it was sent if it has none, as only calls have streamed answers.
     start_check : StartCheck | None
         Started instead of failing the call if it is not acknowledged in time.
     """
@@ -59,6 +62,7 @@
         'answer',
         'cancel_result',
         'check_at',
+        'deadline',
         'delivery',
         'request_id',
         'sent_at',
@@ -72,6 +76,7 @@
         self.request_id = request_id
         self.sent_at = loop.time()
         self.check_at = self.sent_at + ACCEPT_TIMEOUT_S
+        self.deadline = self.sent_at
         self.delivery: Delivery | None = None
         self.accepted = False
         self.answer: asyncio.Future[Answer] = loop.create_future()
--- a/lycheespar/targets/body.py
+++ b/lycheespar/targets/body.py
@@ -3,27 +3,51 @@
 from __future__ import annotations
 
 import asyncio
+import weakref
 from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 
-from lycheespar.errors import LycheesparError, TruncatedAnswerError
+from lycheespar.errors import (
+    DeadlineExceededError,
+    LycheesparError,
+    TruncatedAnswerError,
+)
 from lycheespar.protocol.body import CHUNK_BYTES
 
 
 class AnswerBody:
     """Body of an answer, which reports its end even if it is never read.
 
+    At the deadline of the call, a body that has not arrived wholly ends, and
+    its connection is closed, whether it is read or not.
+
     Parameters
     ----------
     response : aiohttp.ClientResponse
         The response whose body is read.
+    deadline : float
+        Deadline of the call in seconds on the event loop's clock.
     """
 
-    __slots__ = ('_chunks', '_listeners', '_response')
-
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    __slots__ = (
+        '__weakref__',
+        '_chunks',
+        '_listeners',
+        '_overdue',
+        '_response',
+        '_timer',
+    )
+
+    def __init__(
+        self, response: aiohttp.ClientResponse, deadline: float
+    ) -> None:
         """Wrap a response whose body has not been read."""
+        self._overdue = False
+        # A body that was discarded must not live on until its deadline.
+        self._timer = asyncio.get_running_loop().call_at(
+            deadline, _end_overdue, weakref.ref(self)
+        )
         self._response: aiohttp.ClientResponse | None = response
         self._chunks = aiter(response.content.iter_chunked(CHUNK_BYTES))
         self._listeners: list[Callable[[], None]] = []
@@ -39,6 +63,8 @@
         ------
         TruncatedAnswerError
             The body ended before its declared length.
+        DeadlineExceededError
+            The body had not arrived wholly at the deadline.
         """
         try:
             return await anext(self._chunks)
@@ -47,6 +73,8 @@
             raise
         except (aiohttp.ClientError, OSError) as error:
             self.close()
+            if self._overdue:
+                raise DeadlineExceededError from error
             raise TruncatedAnswerError(str(error)) from error
         except asyncio.CancelledError:
             self.close()
@@ -60,6 +88,13 @@
         """Register a function to call once when the body ends or is closed."""
         self._listeners.append(listener)
 
+    def end_if_incomplete(self) -> None:
+        """End the body, as its deadline has passed, unless it has arrived."""
+        response = self._response
+        if response is not None and not response.content.is_eof():
+            self._overdue = True
+            self.close()
+
     def close(self) -> None:
         """Close the connection unless the body has ended."""
         if self._response is not None:
@@ -68,11 +103,19 @@
 
     def _end(self) -> None:
         self._response = None
+        self._timer.cancel()
         for listener in self._listeners:
             listener()
         self._listeners.clear()
 
 
+def _end_overdue(reference: weakref.ref[AnswerBody]) -> None:
+    """End a body at its deadline if it is still in use."""
+    body = reference()
+    if body is not None:
+        body.end_if_incomplete()
+
+
 class RequestBody:
     """Body of a request, which records an error of its source.
 
--- a/lycheespar/targets/client.py
+++ b/lycheespar/targets/client.py
@@ -310,4 +310,4 @@
     )
     if bodiless or (length is not None and length <= INLINE_BYTES):
         return await response.read()
-    return AnswerBody(response)
+    return AnswerBody(response, call.deadline)
--- a/lycheespar/tests/end_to_end/streaming_tests.py
+++ b/lycheespar/tests/end_to_end/streaming_tests.py
@@ -100,6 +100,34 @@
             assert size > 64 * 1024
 
 
+@pytest.mark.parametrize('entry', ['near', 'far'])
+async def test_an_answer_that_stalls_ends_at_its_deadline(
+    cluster_and_session, entry
+):
+    """Callers waited for 20 s, and the target's slot was taken as long."""
+    cluster, session = cluster_and_session
+    _, direct = _node_and_target_urls(cluster)
+    async with session.get(f'{direct}/_set?stalling=1') as response:
+        assert response.status == 200
+    before = (await _stats(session, direct))['cancelled']
+    url = f'{cluster.nodes[entry].url}/a?ms=1&size={2 * MB}'
+    async with asyncio.timeout(10):
+        async with session.get(url, headers=HEADERS) as response:
+            assert response.status == 200
+            with pytest.raises(aiohttp.ClientError):
+                await response.read()
+
+        async def cancelled() -> bool:
+            stats = await _stats(session, direct)
+            return stats['cancelled'] > before
+
+        await wait_until(cancelled, 10)
+    async with session.get(f'{direct}/_set?stalling=0') as response:
+        assert response.status == 200
+    async with session.get(url, headers=HEADERS) as response:
+        assert len(await response.read()) == 2 * MB
+
+
 async def test_a_disconnected_caller_cancels_its_call_at_the_target(
     cluster_and_session,
 ):
--- a/standins/target.py
+++ b/standins/target.py
@@ -20,6 +20,8 @@
 MS_PER_S: Final = 1000
 CRASH_EXIT_CODE: Final = 70
 PADDING_CHUNK: Final = b'x' * 16384
+# Interval in seconds between two checks of a switch.
+POLL_INTERVAL_S: Final = 0.05
 
 
 class TargetPlan(msgspec.Struct):
@@ -88,6 +90,8 @@
         Whether requests are accepted but not answered while this is set.
     truncating : bool
         Whether answers end before their declared length.
+    stalling : bool
+        Whether answers stop after their first part while this is set.
     hiding : bool
         Whether it announces that it is ready while it is cold.
     shedding : bool
@@ -131,6 +135,7 @@
         self.failing = False
         self.frozen = False
         self.truncating = False
+        self.stalling = False
         self.hiding = False
         self.shedding = False
         self.misdirecting = False
@@ -314,7 +319,7 @@
             self._journal.append('overrun', execution)
             return web.Response(status=500, text='overrun')
         while self.frozen:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(POLL_INTERVAL_S)
         received = 0
         async for chunk in request.content.iter_any():
             received += len(chunk)
@@ -358,6 +363,8 @@
             if self.truncating and request.transport is not None:
                 request.transport.abort()
                 return response
+            while self.stalling:
+                await asyncio.sleep(POLL_INTERVAL_S)
         await response.write_eof()
         return response
 
