Store a second drain of one start of a target as well

Callers would see, after a restart of the node, requests at a target that had reported draining, ready and draining again, if the heartbeat in between came late.

Cause: a stored drain counted for all later drains of the same start, whatever was reported in between.

Change: a report that the target stays makes the next drain be stored anew.

Evidence: the new test failed before the change and passes with it.

--- a/lycheespar/control/state/departures.py
+++ b/lycheespar/control/state/departures.py
@@ -25,10 +25,8 @@
     """
     known = table.pop(node, ())
     others = [found for found in known if found.target != departure.target]
-    newest = max(
-        (found for found in (*known, departure) if found not in others),
-        key=_rank_of,
-    )
+    same_target = [found for found in known if found not in others]
+    newest = max((*same_target, departure), key=_rank_of)
     table[node] = (*others, newest)[-MAX_DEPARTURES_PER_NODE:]
     if len(table) > MAX_NODES:
         table.pop(next(iter(table)))
--- a/lycheespar/targets/reports.py
+++ b/lycheespar/targets/reports.py
@@ -230,6 +230,9 @@
             target,
             _LastReport(report.started_at_ms, report.sequence),
         )
+        if report.departure is None:
+            # A drain after this report has to be stored again.
+            self._stored.pop(target, None)
         self._target.announce(report.announcement)
 
     def _hold(self, report: Report) -> None:
--- a/lycheespar/tests/platform/heartbeats_tests.py
+++ b/lycheespar/tests/platform/heartbeats_tests.py
@@ -235,6 +235,16 @@
     assert harness.state is Phase.draining
 
 
+async def test_a_second_drain_of_one_start_is_stored_too(harness):
+    """A heartbeat sent between both drains must not undo the second one."""
+    await harness.send_heartbeat(1, 'draining')
+    await harness.send_heartbeat(2)
+    assert await harness.send_heartbeat(9, 'draining') == 200
+    await harness.restart()
+    await harness.send_heartbeat(8)
+    assert harness.state is None
+
+
 @pytest.mark.parametrize('leaves_by', ['draining', 'deregistration'])
 async def test_a_departure_is_acknowledged_only_when_it_is_stored(
     harness, leaves_by
