Soak: hold nodes to the deadline that they were told

The caller had told the node 499 ms of its 499.98, as the header has whole milliseconds. The trace: sent at 1617.050521, ended at 1617.550231, run dropped at 1617.550101, deadline 1617.550504 as kept and 1617.549521 as told.

The callers now give up at the deadline that they tell, so that all checks use the same one.

--- a/demo/soak/load.py
+++ b/demo/soak/load.py
@@ -207,7 +207,8 @@
         headers: tuple[str, ...] = (),
     ) -> Answer | None:
         """Send a request on a connection; return its answer, if any."""
-        loop = asyncio.get_running_loop()
+        now = asyncio.get_running_loop().time()
+        left_ms = max(1, int((deadline - now) * MS_PER_S))
         attempt = uuid.UUID(int=self._random.getrandbits(128)).hex[:16]
         size = self._draw_bytes(plan.answer_bytes)
         exchange = Exchange(
@@ -216,8 +217,9 @@
             plan.name,
             plan.kind,
             style,
-            loop.time(),
-            deadline,
+            now,
+            # The deadline that the node is told.
+            now + left_ms / MS_PER_S,
             size,
         )
         self._ledger.exchanges.append(exchange)
@@ -245,12 +247,12 @@
         if plan.calls:
             query += f'&calls={plan.calls}&count={plan.call_count}'
         unsafe = plan.kind == 'non_idempotent'
-        left_s = exchange.deadline - exchange.sent_at
+        left_ms = round((exchange.deadline - exchange.sent_at) * MS_PER_S)
         lines = [
             f'{"POST" if unsafe else "GET"} /{plan.name}/x?{query} HTTP/1.1',
             f'Host: {HOST}',
             f'{ATTEMPT_ID_HEADER}: {exchange.attempt}',
-            f'{DEADLINE_HEADER}: {max(1, int(left_s * MS_PER_S))}',
+            f'{DEADLINE_HEADER}: {left_ms}',
             *headers,
         ]
         pieces: list[bytes] = []
