Soak: callers that send before they read have paused reading

All were uploads of callers that do not read before they have sent their body, and that were still sending at their deadline: their exchanges have no last byte, and the nodes had logged the answers 2 to 4 s before.

A caller that pauses counts as one that has paused reading, as the ledger says of next_since; this pause was not noted.

--- a/demo/soak/callers.py
+++ b/demo/soak/callers.py
@@ -161,6 +161,7 @@
             return
         if self.sends_first:
             self._transport.pause_reading()
+            self._reads_since = float('inf')
         self._transport.write(head)
         for index, piece in enumerate(pieces):
             if index:
