Ask for departures twice a second while no control host answers

A node that starts while the control hosts have no leader holds the heartbeats of its target until it knows the departures. With pauses of up to 2 s its target could stay unknown for as long after a leader was elected. A host holds the question for up to 0.9 s itself, so short pauses add few messages.

--- a/lycheespar/control/following/departures.py
+++ b/lycheespar/control/following/departures.py
@@ -33,7 +33,7 @@
 # Bounds of the backoff in seconds before the next control host is asked. All
 # nodes may start at once.
 MIN_PAUSE_S: Final = 0.05
-MAX_PAUSE_S: Final = 2
+MAX_PAUSE_S: Final = 0.5
 
 Reply = TypeVar('Reply', bound=ControlReply)
 
