Begin a target's cold start while its node learns the departures

Cause: a node that starts held the heartbeats of its target until a leader was elected, 0.7 s after its start, and only then connected to the target and began its presumed cold start.

Change: while a heartbeat is held, the target is announced as draining. It gets no work, but it is connected and probed, and its cold start goes on. A held report that turns out to be outdated marks the target as leaving.

--- a/lycheespar/targets/reports.py
+++ b/lycheespar/targets/reports.py
@@ -13,6 +13,7 @@
 
 import msgspec
 from loguru import logger
+from msgspec.structs import replace
 
 from lycheespar.background import start_background
 from lycheespar.targets.announcement import Announcement, LocalTarget
@@ -211,8 +212,14 @@
             self._target.mark_leaving()
         log.info("Target '{}' was deregistered.", departure.target)
 
-    def _use(self, report: Report) -> None:
-        """Announce the target unless something newer is known of it."""
+    def _use(self, report: Report) -> bool:
+        """Announce the target unless something newer is known of it.
+
+        Returns
+        -------
+        bool
+            Whether the target was announced.
+        """
         target = report.announcement.target
         if self._target.current is None:
             # The last announcement has expired. The clock that gives the start
@@ -223,7 +230,7 @@
             last_report is not None and last_report.supersedes(report)
         ):
             log.info("Ignored an outdated report of target '{}'.", target)
-            return
+            return False
         self._latest_start_ms = report.started_at_ms
         _put_newest(
             self._last_reports,
@@ -234,13 +241,21 @@
             # A drain after this report has to be stored again.
             self._stored.pop(target, None)
         self._target.announce(report.announcement)
+        return True
 
     def _hold(self, report: Report) -> None:
-        """Keep a report until departures are known, if it is the newest."""
+        """Keep a report until departures are known, if it is the newest.
+
+        The target gets no work until then, but its load is probed and its cold
+        start begins.
+        """
         held = self._held
         if held is None or _age_key(report) > _age_key(held.report):
             now = asyncio.get_running_loop().time()
             self._held = _HeldReport(report, now + report.announcement.lease_s)
+            self._target.announce(
+                replace(report.announcement, phase='draining')
+            )
 
     async def _restore_all(self) -> None:
         """Take over the departures that earlier processes acknowledged."""
@@ -248,8 +263,9 @@
             self._restore(departure)
         held, self._held = self._held, None
         self._holding = False
-        if held and asyncio.get_running_loop().time() < held.expires_at:
-            self._use(held.report)
+        now = asyncio.get_running_loop().time()
+        if held and now < held.expires_at and not self._use(held.report):
+            self._target.mark_leaving()
 
     def _restore(self, departure: Departure) -> None:
         """Take over a departure unless something newer is known."""
@@ -260,7 +276,9 @@
             return
         self._remember_departure(departure)
         current = self._target.current
-        if current is not None and current.target == target:
+        if self._holding or current is None:
+            return
+        if current.target == target:
             self._target.record_leaving_notice()
 
     def _remember_departure(self, departure: Departure) -> None:
