Tests: hold the call that a lapsed lease must not interrupt

It waited for a run of about 100 ms by polling, so that a run that began and ended between two polls was never seen. With a run of 1 ms the same error comes each time.

The target now holds the run until the lease has lapsed. The check is the same, and no longer depends on when it looks.

--- a/lycheespar/tests/admission/executor_tests.py
+++ b/lycheespar/tests/admission/executor_tests.py
@@ -119,11 +119,13 @@
 
 
 async def test_a_lapsed_lease_does_not_interrupt_running_calls(build_pair):
-    pair = build_pair(service_ms=100)
+    pair = build_pair()
     await pair.start()
+    pair.target.frozen = True
     task = asyncio.create_task(pair.run(make_call()))
     await wait_until(lambda: pair.target.running)
     pair.local._expire()
+    pair.target.frozen = False
     assert (await task).status == 200
 
 
