--- a/lycheespar/commands/check.py
+++ b/lycheespar/commands/check.py
@@ -62,13 +62,13 @@
 
 def _check_hosted(path: Path, role: str) -> CheckReport:
     """Validate a settings file of the users' platform."""
-    from lycheespar.platform import settings  # noqa: PLC0415
+    from lycheespar.platform import settings, settings_file  # noqa: PLC0415
 
     try:
         if role == HOSTED_NODE:
-            settings.node_settings(settings.load_node(path))
+            settings.node_settings(settings_file.load_node(path))
         else:
-            settings.control_settings(settings.load_control(path))
+            settings.control_settings(settings_file.load_control(path))
     except SettingsError as error:
         return CheckReport(role, problems=error.problems)
     return CheckReport(role)
--- a/lycheespar/commands/hosted.py
+++ b/lycheespar/commands/hosted.py
@@ -14,12 +14,11 @@
 from lycheespar.commands.serve import run_until_stopped
 from lycheespar.errors import SettingsError
 from lycheespar.platform.interfaces import PlatformInterfaces
-from lycheespar.platform.settings import (
-    control_settings,
+from lycheespar.platform.settings import control_settings, node_settings
+from lycheespar.platform.settings_file import (
     load_control,
     load_gossip_seeds,
     load_node,
-    node_settings,
     settings_path,
 )
 from lycheespar.settings.options import Address
--- a/lycheespar/platform/interfaces.py
+++ b/lycheespar/platform/interfaces.py
@@ -8,7 +8,7 @@
 from lycheespar.platform.headers import PLATFORM_PROFILE
 from lycheespar.platform.heartbeats import HeartbeatServer
 from lycheespar.platform.readiness import ReadinessServer
-from lycheespar.platform.settings import PlatformNodeSettings
+from lycheespar.platform.settings_file import PlatformNodeSettings
 from lycheespar.profile import HeaderProfile
 from lycheespar.targets.announcement import LocalTarget
 from lycheespar.targets.departures import DepartureStore
--- a/lycheespar/tests/platform/odd_documents_tests.py
+++ b/lycheespar/tests/platform/odd_documents_tests.py
@@ -11,7 +11,7 @@
 from lycheespar.configuration.model import Configuration
 from lycheespar.errors import ChangeInvalidError, SettingsError
 from lycheespar.platform.documents import decode_put, encode_plan
-from lycheespar.platform.settings import load_control, load_node
+from lycheespar.platform.settings_file import load_control, load_node
 from lycheespar.tests.odd_values import (
     BEYOND_64_BITS,
     DEEP,
--- a/lycheespar/tests/platform/settings_tests.py
+++ b/lycheespar/tests/platform/settings_tests.py
@@ -9,12 +9,11 @@
 import pytest
 
 from lycheespar.errors import SettingsError
-from lycheespar.platform.settings import (
-    control_settings,
+from lycheespar.platform.settings import control_settings, node_settings
+from lycheespar.platform.settings_file import (
     load_control,
     load_gossip_seeds,
     load_node,
-    node_settings,
 )
 from lycheespar.tests.odd_values import UNKNOWN_VALUES, with_unknown_fields
 
