Tests: wait for the node that a stalled answer is asked from

The fixture waits until node `far` answers; nothing waited for node `near`, which may not have the configuration yet. The test now waits for the node it asks.

--- a/lycheespar/tests/end_to_end/streaming_tests.py
+++ b/lycheespar/tests/end_to_end/streaming_tests.py
@@ -107,10 +107,11 @@
     """Callers waited for 20 s, and the target's slot was taken as long."""
     cluster, session = cluster_and_session
     _, direct = _node_and_target_urls(cluster)
+    url = f'{cluster.nodes[entry].url}/a?ms=1&size={2 * MB}'
+    await wait_until(partial(answers_with_status, session, url, HOST))
     async with session.get(f'{direct}/_set?stalling=1') as response:
         assert response.status == 200
     before = (await _stats(session, direct))['cancelled']
-    url = f'{cluster.nodes[entry].url}/a?ms=1&size={2 * MB}'
     async with asyncio.timeout(10):
         async with session.get(url, headers=HEADERS) as response:
             assert response.status == 200
