Review: stricter counts in cases 11 and 14

Cause: the quota rule counts requests that are sent and arrive within a window, and an unstable core may stretch the bound of an evacuation. Change: case 14 counts by both times and each request once; case 11 adds max_stretch to the bound.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -17,7 +17,7 @@
 # waits for a response.
 ROUNDS, FREEZE_S = 30, 1.2
 # Bounds of the rule, and time for which requests are sent after them.
-EVACUATE_S, CONTACT_S, LONGER_S = 5.0, 3.0, 3.0
+EVACUATE_S, MAX_STRETCH_S, CONTACT_S, LONGER_S = 5.0, 5.0, 3.0, 3.0
 
 
 async def send_requests(site: Site, seconds: float) -> None:
@@ -75,7 +75,9 @@
             break
     # From here on nothing is disturbed, and no order is sent.
     woken_at = time.monotonic()
-    bound = max(acknowledged_at + EVACUATE_S, woken_at + CONTACT_S)
+    bound = max(
+        acknowledged_at + EVACUATE_S + MAX_STRETCH_S, woken_at + CONTACT_S
+    )
     await send_requests(site, bound + LONGER_S - time.monotonic())
     late = runs_in_zone(site, bound)
     site.record(
--- a/review/site_3.py
+++ b/review/site_3.py
@@ -271,12 +271,13 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self._running = 0
+        self._tasks: set[asyncio.Task[None]] = set()
         self._task: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(
-            self._serve, self.machine.ip, self.site.ports['app']
+            self._accept, self.machine.ip, self.site.ports['app']
         )
         self._task = asyncio.create_task(self._send_beats())
 
@@ -323,6 +324,13 @@
             status = await self.send_beat()
             await asyncio.sleep(BEAT_S if status == 200 else BEAT_S / 3)
 
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -381,6 +389,8 @@
         self.network = f'127.{100 + pid // 256 % 100}.{pid % 256}'
         self.machines: list[Machine] = []
         self.targets: dict[str, Target] = {}
+        # When clients sent their requests, by id.
+        self.sent: dict[str, float] = {}
         self.bounds = dict(BOUNDS)
         self.contracts = [
             'base',
@@ -499,6 +509,7 @@
             body,
         )
         self.record(f'client sends {attempt} {method} {path} to {machine.name}')
+        self.sent[attempt] = time.monotonic()
         try:
             answer = await exchange(
                 machine.address('outbound'),
@@ -639,8 +650,13 @@
     code = EXIT_NOT_RUN
 
     async def main() -> int:
-        async with asyncio.timeout(limit_s):
-            broken = await play(site, trouble)
+        try:
+            async with asyncio.timeout(limit_s):
+                broken = await play(site, trouble)
+        finally:
+            site.stop()
+            # The connections of the ended programs close.
+            await asyncio.sleep(0.2)
         return EXIT_BROKEN if broken else EXIT_HELD
 
     try:
