Review: callers get answers of a program that is no target

Cause: as before, heartbeats that lack fields replace a target. Change: the case judges what callers get: the address that the heartbeats name answers.

--- a/review/site_3.py
+++ b/review/site_3.py
@@ -389,8 +389,9 @@
         self.network = f'127.{100 + pid // 256 % 100}.{pid % 256}'
         self.machines: list[Machine] = []
         self.targets: dict[str, Target] = {}
-        # When clients sent their requests, by id.
+        # When clients sent their requests, and what they got, by id.
         self.sent: dict[str, float] = {}
+        self.answers: dict[str, Answer] = {}
         self.bounds = dict(BOUNDS)
         self.contracts = [
             'base',
@@ -519,6 +520,7 @@
             )
         except TimeoutError:
             answer = Answer(0, {}, b'')
+        self.answers[attempt] = answer
         self.record(f'client gets {answer.status} for {attempt}')
         return attempt, answer.status
 
